--- /dev/null
+++ b/internal/chivehillbalance/asker.go
@@ -0,0 +1,352 @@
+package chivehillbalance
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillreason"
+	"github.com/chivehill/chivehill/internal/chivehillwire"
+)
+
+// maxAsks bounds the owners that one request asks before it is refused.
+const maxAsks = 4
+
+// peerView is what this host knows of a peer's servers.
+type peerView struct {
+	peer Peer
+	load chivehillwire.Load
+}
+
+// waiter is a request of this host that has no slot yet.
+type waiter struct {
+	request Request
+	// asked holds every owner asked so far; the value is true while the ask is open.
+	asked map[chivehillid.HostID]bool
+	// lastReason is the reason of the newest denial.
+	lastReason chivehillreason.Reason
+}
+
+func (w *waiter) open() int {
+	n := 0
+	for _, open := range w.asked {
+		if open {
+			n++
+		}
+	}
+	return n
+}
+
+// submit finds a slot for a request: an idle one of an own server, else an
+// idle one of a peer, else a place in the queues of the owners with the
+// shortest expected wait.
+func (p *Pool) submit(now chivehillclock.Millis, r Request) {
+	w := &waiter{request: r, asked: make(map[chivehillid.HostID]bool, p.config.Fanout), lastReason: chivehillreason.NoServer}
+	p.waiters[r.ID] = w
+	if now >= r.Deadline {
+		p.refuse(r.ID, chivehillreason.DeadlinePassed)
+		return
+	}
+	if p.takeIdle(now, w) {
+		return
+	}
+	if peer := p.idlePeer(w); peer != nil {
+		p.ask(now, w, peer.peer.Host)
+		return
+	}
+	if r.NoQueue {
+		p.refuse(r.ID, chivehillreason.NoIdleSlot)
+		return
+	}
+	p.wait(now, w)
+}
+
+// takeIdle uses an idle slot of an own server if no other request waits for it.
+func (p *Pool) takeIdle(now chivehillclock.Millis, w *waiter) bool {
+	if !w.request.Regions.Allows(p.config.Region) || p.queue.len() > 0 {
+		return false
+	}
+	s := p.pick(now, w.request.Exclude, false)
+	if s == nil {
+		return false
+	}
+	p.lend(now, s, p.entryOf(w))
+	return true
+}
+
+func (p *Pool) entryOf(w *waiter) *entry {
+	return &entry{
+		key:      askKey{from: p.config.Self, ask: chivehillid.AskID(w.request.ID)},
+		deadline: w.request.Deadline, tenant: w.request.Tenant, exclude: w.request.Exclude,
+	}
+}
+
+// eligible reports whether a request may use servers of a peer.
+func (p *Pool) eligible(w *waiter, v *peerView) bool {
+	if _, asked := w.asked[v.peer.Host]; asked {
+		return false
+	}
+	if v.load.Limit == 0 || !w.request.Regions.Allows(v.peer.Region) {
+		return false
+	}
+	return v.peer.Region == p.config.Region || w.request.LinkOpen
+}
+
+// idlePeer returns the nearest eligible peer of this region with an idle slot.
+func (p *Pool) idlePeer(w *waiter) *peerView {
+	var best *peerView
+	for _, h := range p.peerOrder {
+		v := p.peers[h]
+		if v.load.Idle <= 0 || v.peer.Region != p.config.Region || !p.eligible(w, v) {
+			continue
+		}
+		if best == nil || v.peer.RoundTrip < best.peer.RoundTrip ||
+			(v.peer.RoundTrip == best.peer.RoundTrip && v.load.Idle > best.load.Idle) {
+			best = v
+		}
+	}
+	return best
+}
+
+// candidate is an owner at which a request can wait. The host itself is one.
+type candidate struct {
+	host chivehillid.HostID
+	cost chivehillclock.Millis
+}
+
+// candidates returns the owners at which a request can wait, cheapest first.
+func (p *Pool) candidates(now chivehillclock.Millis, w *waiter) []candidate {
+	var found []candidate
+	_, askedSelf := w.asked[p.config.Self]
+	if load := p.load(now); !askedSelf && len(p.servers) > 0 && w.request.Regions.Allows(p.config.Region) {
+		found = append(found, candidate{host: p.config.Self, cost: load.WaitMs})
+	}
+	for _, h := range p.peerOrder {
+		v := p.peers[h]
+		if p.eligible(w, v) {
+			found = append(found, candidate{host: h, cost: v.load.WaitMs + v.peer.RoundTrip})
+		}
+	}
+	slices.SortStableFunc(found, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
+	return found
+}
+
+// wait asks the best owners for a place in their queues.
+func (p *Pool) wait(now chivehillclock.Millis, w *waiter) {
+	for _, c := range p.candidates(now, w) {
+		if _, waiting := p.waiters[w.request.ID]; !waiting {
+			return
+		}
+		if w.open() >= p.config.Fanout || len(w.asked) >= maxAsks {
+			break
+		}
+		p.ask(now, w, c.host)
+	}
+	if _, waiting := p.waiters[w.request.ID]; waiting && w.open() == 0 {
+		p.refuse(w.request.ID, w.lastReason)
+	}
+}
+
+// ask asks one owner, this host included.
+func (p *Pool) ask(now chivehillclock.Millis, w *waiter, owner chivehillid.HostID) {
+	w.asked[owner] = true
+	if owner == p.config.Self {
+		if reason := p.enqueue(now, p.entryOf(w)); reason != "" {
+			w.asked[owner] = false
+			w.lastReason = reason
+		}
+		return
+	}
+	v := p.peers[owner]
+	v.load.Idle--
+	v.load.Queued++
+	p.out.to(owner).Asks = append(p.out.to(owner).Asks, chivehillwire.Ask{
+		Ask: chivehillid.AskID(w.request.ID), LeftMs: w.request.Deadline - now, Tenant: w.request.Tenant,
+		Exclude: w.request.Exclude, Queue: !w.request.NoQueue,
+	})
+}
+
+// granted hands a slot to a request of this host and takes its other asks back.
+func (p *Pool) granted(now chivehillclock.Millis, id RequestID, d Dispatch) {
+	w := p.waiters[id]
+	if w == nil || now >= d.ValidUntil {
+		p.giveBack(now, d)
+		return
+	}
+	w.asked[d.Owner] = false
+	p.dropWaiter(id)
+	p.out.actions = append(p.out.actions, d)
+}
+
+// giveBack returns a slot that this host has no use for.
+func (p *Pool) giveBack(now chivehillclock.Millis, d Dispatch) {
+	p.finish(now, Finish{Owner: d.Owner, Grant: d.Grant, Result: Unused})
+}
+
+// dropWaiter forgets a request and takes its asks back.
+func (p *Pool) dropWaiter(id RequestID) {
+	w := p.waiters[id]
+	if w == nil {
+		return
+	}
+	delete(p.waiters, id)
+	for _, h := range slices.Sorted(maps.Keys(w.asked)) {
+		if !w.asked[h] {
+			continue
+		}
+		if h == p.config.Self {
+			p.queue.remove(askKey{from: h, ask: chivehillid.AskID(id)})
+			continue
+		}
+		if p.peers[h] != nil {
+			p.out.to(h).Withdrawals = append(p.out.to(h).Withdrawals, chivehillwire.AskWithdrawal{Ask: chivehillid.AskID(id)})
+		}
+	}
+}
+
+func (p *Pool) refuse(id RequestID, reason chivehillreason.Reason) {
+	p.dropWaiter(id)
+	p.out.actions = append(p.out.actions, Refuse{Request: id, Reason: reason})
+}
+
+// denied handles the denial of an ask: the request asks elsewhere or is refused.
+func (p *Pool) denied(now chivehillclock.Millis, id RequestID, by chivehillid.HostID, reason chivehillreason.Reason) {
+	w := p.waiters[id]
+	if w == nil || !w.asked[by] {
+		return
+	}
+	w.asked[by] = false
+	w.lastReason = reason
+	if w.open() > 0 {
+		return
+	}
+	if peer := p.idlePeer(w); peer != nil && len(w.asked) < maxAsks {
+		p.ask(now, w, peer.peer.Host)
+		return
+	}
+	if w.request.NoQueue {
+		p.refuse(id, reason)
+		return
+	}
+	p.wait(now, w)
+}
+
+func (p *Pool) expireWaiters(now chivehillclock.Millis) {
+	for _, id := range slices.Sorted(maps.Keys(p.waiters)) {
+		if now >= p.waiters[id].request.Deadline {
+			p.refuse(id, chivehillreason.DeadlinePassed)
+		}
+	}
+}
+
+// finish gives a slot back to its owner.
+func (p *Pool) finish(now chivehillclock.Millis, f Finish) {
+	if f.Result == Good {
+		p.typical += averageWeight * (float64(f.Took) - p.typical)
+	}
+	if f.Owner == p.config.Self {
+		p.settle(now, p.config.Self, f)
+		return
+	}
+	if p.peers[f.Owner] == nil {
+		return
+	}
+	p.out.to(f.Owner).Releases = append(p.out.to(f.Owner).Releases, chivehillwire.Release{
+		Grant: f.Grant, Result: string(f.Result), TookMs: f.Took, Cold: f.Cold,
+	})
+}
+
+// receive applies the messages of a peer.
+func (p *Pool) receive(now chivehillclock.Millis, e Receive) {
+	v := p.peers[e.From]
+	if v == nil {
+		return
+	}
+	m := e.Messages
+	if m.Load != nil {
+		v.load = *m.Load
+	}
+	for _, r := range m.Releases {
+		p.settle(now, e.From, Finish{Grant: r.Grant, Result: Result(r.Result), Took: r.TookMs, Cold: r.Cold})
+	}
+	for _, w := range m.Withdrawals {
+		p.queue.remove(askKey{from: e.From, ask: w.Ask})
+	}
+	for _, a := range m.Asks {
+		p.asked(now, e.From, a)
+	}
+	for _, g := range m.Grants {
+		p.granted(now, RequestID(g.Ask), Dispatch{
+			Request: RequestID(g.Ask), Owner: e.From, Grant: g.Grant, Server: g.Server, ValidUntil: e.Issued + g.ValidMs, Cold: g.Cold,
+		})
+	}
+	for _, d := range m.Denials {
+		p.denied(now, RequestID(d.Ask), e.From, chivehillreason.Reason(d.Reason))
+	}
+	p.steal(now, v)
+}
+
+// steal asks a peer that turned out to have idle slots on behalf of the
+// requests that wait elsewhere.
+func (p *Pool) steal(now chivehillclock.Millis, v *peerView) {
+	if p.config.Off.Steal || v.load.Idle <= 0 || len(p.waiters) == 0 {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.waiters)) {
+		w := p.waiters[id]
+		if v.load.Idle <= 0 {
+			return
+		}
+		if v.peer.Region == p.config.Region && p.eligible(w, v) && len(w.asked) < maxAsks {
+			p.ask(now, w, v.peer.Host)
+		}
+	}
+}
+
+// setPeers replaces the set of peers. Asks at a lost peer count as denied.
+func (p *Pool) setPeers(now chivehillclock.Millis, peers []Peer) {
+	old := p.peers
+	p.peers = make(map[chivehillid.HostID]*peerView, len(peers))
+	for _, peer := range peers {
+		v := old[peer.Host]
+		if v == nil {
+			v = &peerView{}
+		}
+		v.peer = peer
+		p.peers[peer.Host] = v
+	}
+	p.peerOrder = slices.Sorted(maps.Keys(p.peers))
+	for _, e := range p.queue.all() {
+		if e.key.from != p.config.Self && p.peers[e.key.from] == nil {
+			p.queue.remove(e.key)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.waiters)) {
+		w := p.waiters[id]
+		if w == nil {
+			continue
+		}
+		for _, h := range slices.Sorted(maps.Keys(w.asked)) {
+			if w.asked[h] && h != p.config.Self && p.peers[h] == nil {
+				p.denied(now, id, h, chivehillreason.NoServer)
+			}
+		}
+	}
+	p.advertised = chivehillwire.Load{Limit: -1}
+}
+
+// advertise tells the peers of this region about the owned servers when the
+// number of idle slots changed between none and some, or the limit changed.
+func (p *Pool) advertise(now chivehillclock.Millis) {
+	load := p.load(now)
+	known := p.advertised
+	if (load.Idle > 0) == (known.Idle > 0) && load.Limit == known.Limit {
+		return
+	}
+	p.advertised = load
+	for _, h := range p.peerOrder {
+		p.out.to(h)
+	}
+}
--- /dev/null
+++ b/internal/chivehillbalance/owner.go
@@ -0,0 +1,194 @@
+package chivehillbalance
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillinvariant"
+	"github.com/chivehill/chivehill/internal/chivehillreason"
+	"github.com/chivehill/chivehill/internal/chivehillwire"
+)
+
+// loanFactor times the time left at the grant bounds how long a slot counts as
+// lent when its holder is never heard of again.
+const loanFactor = 2
+
+// loan is a slot that is lent.
+type loan struct {
+	server chivehillid.ServerID
+	// to is the host that holds the slot; this host included.
+	to      chivehillid.HostID
+	expires chivehillclock.Millis
+}
+
+// lend gives a slot of s to an entry.
+func (p *Pool) lend(now chivehillclock.Millis, s *server, e *entry) {
+	cold := !s.warm
+	if cold {
+		chivehillinvariant.Assert(s.inFlight < s.limit, chivehillinvariant.ColdLimit,
+			"server %s has %d of %d in flight", s.id, s.inFlight, s.limit)
+	}
+	chivehillinvariant.Assert(!s.out, chivehillinvariant.DomainOut, "server %s is out of service", s.id)
+	chivehillinvariant.Assert(!s.draining, chivehillinvariant.Draining, "server %s drains", s.id)
+	s.inFlight++
+	p.nextGrant++
+	grant := p.nextGrant
+	p.loans[grant] = &loan{server: s.id, to: e.key.from, expires: now + loanFactor*max(0, e.deadline-now)}
+	valid := p.config.GrantValid
+	if cold && p.config.ColdUnconfirmed == 0 {
+		chivehillinvariant.Assert(now < p.confirmedUntil && now >= s.confirmedFrom, chivehillinvariant.ConfirmedOwner,
+			"server %s is cold and its owner is not confirmed", s.id)
+		valid = min(valid, p.confirmedUntil-now)
+	}
+	if e.key.from == p.config.Self {
+		p.granted(now, RequestID(e.key.ask), Dispatch{
+			Request: RequestID(e.key.ask), Owner: p.config.Self, Grant: grant, Server: s.id, ValidUntil: now + valid, Cold: cold,
+		})
+		return
+	}
+	p.out.to(e.key.from).Grants = append(p.out.to(e.key.from).Grants, chivehillwire.Grant{
+		Ask: e.key.ask, Grant: grant, Server: s.id, ValidMs: valid, Cold: cold,
+	})
+}
+
+// settle takes a lent slot back. Unknown loans are ignored: they expired or
+// their server moved to another owner.
+func (p *Pool) settle(now chivehillclock.Millis, from chivehillid.HostID, f Finish) {
+	l := p.loans[f.Grant]
+	if l == nil || l.to != from {
+		return
+	}
+	delete(p.loans, f.Grant)
+	p.settleServer(now, l.server, f)
+	p.pump(now)
+}
+
+// settleServer records the result of a request at an owned or retired server.
+func (p *Pool) settleServer(now chivehillclock.Millis, id chivehillid.ServerID, f Finish) {
+	if s := p.servers[id]; s != nil {
+		s.settle(now, f, p.typical, p.config)
+		return
+	}
+	s := p.retired[id]
+	if s == nil {
+		return
+	}
+	s.settle(now, f, p.typical, p.config)
+	if s.inFlight == 0 {
+		p.release(s)
+	}
+}
+
+func (p *Pool) expireLoans(now chivehillclock.Millis) {
+	for _, g := range slices.Sorted(maps.Keys(p.loans)) {
+		l := p.loans[g]
+		if now < l.expires {
+			continue
+		}
+		delete(p.loans, g)
+		p.settleServer(now, l.server, Finish{Result: Silent})
+	}
+}
+
+// pump gives free slots to waiting entries.
+func (p *Pool) pump(now chivehillclock.Millis) {
+	for p.queue.len() > 0 && p.pumpOne(now) {
+	}
+}
+
+// pumpOne serves one entry and reports whether it could.
+func (p *Pool) pumpOne(now chivehillclock.Millis) bool {
+	for _, e := range p.queue.order() {
+		if !p.inTime(now, e.deadline) {
+			p.queue.remove(e.key)
+			p.deny(now, e.key, chivehillreason.DeadlinePassed)
+			return true
+		}
+		s := p.pick(now, e.exclude, true)
+		if s == nil {
+			continue
+		}
+		p.queue.take(e)
+		p.lend(now, s, e)
+		return true
+	}
+	return false
+}
+
+// inTime reports whether a request that starts now can end by the deadline.
+func (p *Pool) inTime(now, deadline chivehillclock.Millis) bool {
+	return now < deadline
+}
+
+// enqueue lets an entry wait here, or returns why it cannot.
+func (p *Pool) enqueue(now chivehillclock.Millis, e *entry) chivehillreason.Reason {
+	limit := p.load(now).Limit
+	if limit == 0 && !p.mayRecover(now) {
+		return chivehillreason.NoServer
+	}
+	if !p.config.Off.Admission && !p.fits(now, e, limit) {
+		return chivehillreason.Overload
+	}
+	p.queue.push(e)
+	p.pump(now)
+	return ""
+}
+
+// mayRecover reports whether any owned server can take work again without a
+// change of configuration or ownership.
+func (p *Pool) mayRecover(chivehillclock.Millis) bool {
+	for _, s := range p.servers {
+		if !s.out && !s.draining {
+			return true
+		}
+	}
+	return false
+}
+
+// fits reports whether the tenant's share of the slots can serve the entry by
+// its deadline.
+func (p *Pool) fits(now chivehillclock.Millis, e *entry, limit int) bool {
+	share := p.queue.active()
+	if p.queue.tenantLen(e.tenant) == 0 {
+		share++
+	}
+	ahead := p.queue.tenantLen(e.tenant) * max(1, share)
+	wait := p.expectedWait(max(1, limit), ahead)
+	return now+wait+chivehillclock.Millis(p.typical) <= e.deadline
+}
+
+// deny tells the sender of an ask that it gets no slot here.
+func (p *Pool) deny(now chivehillclock.Millis, key askKey, reason chivehillreason.Reason) {
+	if key.from == p.config.Self {
+		p.denied(now, RequestID(key.ask), p.config.Self, reason)
+		return
+	}
+	p.out.to(key.from).Denials = append(p.out.to(key.from).Denials, chivehillwire.Denial{Ask: key.ask, Reason: string(reason)})
+}
+
+func (p *Pool) denyAll(now chivehillclock.Millis, reason chivehillreason.Reason) {
+	for _, e := range p.queue.all() {
+		p.queue.remove(e.key)
+		p.deny(now, e.key, reason)
+	}
+}
+
+// asked handles an ask of a peer.
+func (p *Pool) asked(now chivehillclock.Millis, from chivehillid.HostID, a chivehillwire.Ask) {
+	e := &entry{key: askKey{from: from, ask: a.Ask}, deadline: now + a.LeftMs, tenant: a.Tenant, exclude: a.Exclude}
+	if p.queue.len() == 0 {
+		if s := p.pick(now, e.exclude, false); s != nil {
+			p.lend(now, s, e)
+			return
+		}
+	}
+	if !a.Queue {
+		p.deny(now, e.key, chivehillreason.NoIdleSlot)
+		return
+	}
+	if reason := p.enqueue(now, e); reason != "" {
+		p.deny(now, e.key, reason)
+	}
+}
--- /dev/null
+++ b/internal/chivehillbalance/pool.go
@@ -0,0 +1,318 @@
+package chivehillbalance
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillreason"
+	"github.com/chivehill/chivehill/internal/chivehillwire"
+)
+
+// typicalStart is the assumed time of a request before any was measured.
+const typicalStart = 5.0
+
+// Pool is the state of one upstream pool at one host. It is not safe for
+// concurrent use; the caller holds a lock for each pool.
+type Pool struct {
+	config Config
+	// confirmedUntil is the time until which this host's ownership is confirmed.
+	confirmedUntil chivehillclock.Millis
+	servers        map[chivehillid.ServerID]*server
+	// retired holds servers that this host owned and whose lent slots are not all back.
+	retired map[chivehillid.ServerID]*server
+	// order lists the keys of servers, sorted.
+	order []chivehillid.ServerID
+	queue *waitQueue
+	// loans holds each lent slot until it is given back or expires.
+	loans     map[chivehillid.GrantID]*loan
+	nextGrant chivehillid.GrantID
+	peers     map[chivehillid.HostID]*peerView
+	peerOrder []chivehillid.HostID
+	waiters   map[RequestID]*waiter
+	// typical is a moving average of the time of good responses, in milliseconds.
+	typical float64
+	// advertised is the load that peers were last told unasked.
+	advertised chivehillwire.Load
+
+	out *outbox
+}
+
+// New returns a pool without servers and peers.
+func New(c Config) *Pool {
+	c.ColdConcurrency = max(1, c.ColdConcurrency)
+	c.RampSuccesses = max(1, c.RampSuccesses)
+	c.Fanout = max(1, c.Fanout)
+	return &Pool{
+		config:  c,
+		servers: make(map[chivehillid.ServerID]*server),
+		retired: make(map[chivehillid.ServerID]*server),
+		queue:   newWaitQueue(c.Off.Fairness),
+		loans:   make(map[chivehillid.GrantID]*loan),
+		peers:   make(map[chivehillid.HostID]*peerView),
+		waiters: make(map[RequestID]*waiter),
+		typical: typicalStart,
+		out:     &outbox{},
+	}
+}
+
+// Handle applies an event at time now and returns what must be done about it.
+func (p *Pool) Handle(now chivehillclock.Millis, e Event) []Action {
+	switch e := e.(type) {
+	case Submit:
+		p.submit(now, e.Request)
+	case Cancel:
+		p.dropWaiter(e.Request)
+	case Finish:
+		p.finish(now, e)
+	case Receive:
+		p.receive(now, e)
+	case SetPeers:
+		p.setPeers(now, e.Peers)
+	case SetOwned:
+		p.setOwned(now, e.Servers)
+	case Confirm:
+		p.confirmedUntil = max(p.confirmedUntil, e.Until)
+		p.pump(now)
+	case Probed:
+		p.probed(now, e)
+	case Undisputed:
+		p.undisputed(now, e)
+	case Tick:
+		p.tick(now)
+	}
+	return p.out.drain(p.config.Pool, p.load(now))
+}
+
+func (p *Pool) setOwned(now chivehillclock.Millis, owned []Owned) {
+	kept := make(map[chivehillid.ServerID]*server, len(owned))
+	for _, o := range owned {
+		s := p.servers[o.Server]
+		if s == nil {
+			s = p.adopt(o)
+		}
+		s.out = o.Out
+		s.slots = o.Slots
+		s.limit = min(s.limit, s.slots)
+		s.confirmedFrom = o.ConfirmedFrom
+		kept[o.Server] = s
+	}
+	for _, id := range p.order {
+		if kept[id] == nil {
+			p.retire(p.servers[id])
+		}
+	}
+	p.servers = kept
+	p.order = slices.Sorted(maps.Keys(kept))
+	if len(p.servers) == 0 {
+		p.denyAll(now, chivehillreason.NoServer)
+	}
+	p.pump(now)
+}
+
+// adopt returns the state of a server that becomes owned.
+func (p *Pool) adopt(o Owned) *server {
+	s := newServer(o, p.config)
+	if old := p.retired[o.Server]; old != nil {
+		s.inFlight = old.inFlight
+		delete(p.retired, o.Server)
+	}
+	return s
+}
+
+// retire stops lending slots of a server that is no longer owned.
+func (p *Pool) retire(s *server) {
+	if s.inFlight > 0 {
+		p.retired[s.id] = s
+		return
+	}
+	p.release(s)
+}
+
+func (p *Pool) release(s *server) {
+	delete(p.retired, s.id)
+	p.out.actions = append(p.out.actions, Released{Server: s.id, Limit: s.limit, Draining: s.draining})
+}
+
+// undisputed ends the time in which another owner may act.
+func (p *Pool) undisputed(now chivehillclock.Millis, e Undisputed) {
+	s := p.servers[e.Server]
+	if s == nil {
+		return
+	}
+	s.confirmedFrom = e.From
+	if !p.config.Off.Ramp && !s.warm && s.samples == 0 {
+		s.limit = min(max(s.limit, e.KnownLimit), s.slots)
+		s.warm = s.limit == s.slots && e.KnownLimit > 0
+	}
+	p.pump(now)
+}
+
+func (p *Pool) probed(now chivehillclock.Millis, e Probed) {
+	s := p.servers[e.Server]
+	if s == nil {
+		return
+	}
+	switch {
+	case e.Draining:
+		s.draining = true
+	case !e.Healthy:
+		s.coolDown(p.config)
+		s.suspend(now)
+		s.needsProbe = true
+	case s.draining, s.needsProbe:
+		// The server left and came back.
+		s.draining = false
+		s.needsProbe = false
+		s.coolDown(p.config)
+	case e.Cold:
+		s.coolDown(p.config)
+	}
+	p.pump(now)
+}
+
+func (p *Pool) tick(now chivehillclock.Millis) {
+	p.expireLoans(now)
+	p.expireWaiters(now)
+	for _, e := range p.queue.expired(now) {
+		p.deny(now, e.key, chivehillreason.DeadlinePassed)
+	}
+	p.pump(now)
+	p.advertise(now)
+}
+
+// load describes the owned servers for peers.
+func (p *Pool) load(now chivehillclock.Millis) chivehillwire.Load {
+	var load chivehillwire.Load
+	for _, id := range p.order {
+		s := p.servers[id]
+		allowed := s.allowed(now, p.confirmedUntil, p.config)
+		load.Limit += int(allowed)
+		load.Idle += int(max(0, allowed-s.inFlight))
+	}
+	load.Queued = p.queue.len()
+	if load.Queued > 0 {
+		load.Idle = 0
+	}
+	load.WaitMs = p.expectedWait(load.Limit, load.Queued)
+	return load
+}
+
+func (p *Pool) expectedWait(limit, queued int) chivehillclock.Millis {
+	if limit == 0 {
+		return chivehillclock.Minute
+	}
+	return chivehillclock.Millis(p.typical * float64(queued+1) / float64(limit))
+}
+
+// Load returns the state of the owned servers at time now.
+func (p *Pool) Load(now chivehillclock.Millis) chivehillwire.Load {
+	return p.load(now)
+}
+
+// ServerStatus describes an owned server for operators and for a next owner.
+type ServerStatus struct {
+	Server   chivehillid.ServerID
+	State    string
+	Limit    chivehillid.Slots
+	InFlight chivehillid.Slots
+	Draining bool
+	Took     chivehillclock.Millis
+}
+
+// Servers returns the state of the owned servers at time now, sorted by name.
+func (p *Pool) Servers(now chivehillclock.Millis) []ServerStatus {
+	statuses := make([]ServerStatus, 0, len(p.order))
+	for _, id := range p.order {
+		s := p.servers[id]
+		statuses = append(statuses, ServerStatus{
+			Server: id, State: s.state(now), Limit: s.limit, InFlight: s.inFlight,
+			Draining: s.draining, Took: chivehillclock.Millis(s.took),
+		})
+	}
+	return statuses
+}
+
+func (s *server) state(now chivehillclock.Millis) string {
+	switch {
+	case s.out:
+		return "out"
+	case s.draining:
+		return "draining"
+	case s.needsProbe, now < s.suspendedUntil:
+		return "suspended"
+	case s.warm:
+		return "warm"
+	}
+	return "cold"
+}
+
+// Typical returns the moving average of the time of good responses.
+func (p *Pool) Typical() chivehillclock.Millis {
+	return chivehillclock.Millis(p.typical)
+}
+
+// Waiting returns the number of requests of this host that wait for a slot.
+func (p *Pool) Waiting() int {
+	return len(p.waiters)
+}
+
+// pick returns the owned server that is best for an entry, or nil. Servers
+// with idle slots go first; slack is used only when withSlack is set.
+func (p *Pool) pick(now chivehillclock.Millis, exclude []chivehillid.ServerID, withSlack bool) *server {
+	var best *server
+	for _, id := range p.order {
+		s := p.servers[id]
+		if slices.Contains(exclude, id) {
+			continue
+		}
+		if s.inFlight >= s.allowed(now, p.confirmedUntil, p.config) {
+			continue
+		}
+		if best == nil || better(s, best) {
+			best = s
+		}
+	}
+	if best != nil || !withSlack {
+		return best
+	}
+	for _, id := range p.order {
+		s := p.servers[id]
+		if slices.Contains(exclude, id) || s.inFlight >= s.allowedWithSlack(now, p.confirmedUntil, p.config) {
+			continue
+		}
+		if best == nil || better(s, best) {
+			best = s
+		}
+	}
+	return best
+}
+
+// better reports whether a should be used before b: the lower share of its
+// slots in use first, then the faster one.
+func better(a, b *server) bool {
+	return cmp.Or(
+		cmp.Compare(float64(a.inFlight)/float64(a.slots), float64(b.inFlight)/float64(b.slots)),
+		cmp.Compare(a.took, b.took),
+	) < 0
+}
+
+// Busy reports whether requests or asks wait in the pool.
+func (p *Pool) Busy() bool {
+	return p.queue.len() > 0 || len(p.waiters) > 0
+}
+
+// ProbesDue returns the servers that take work again only after a health
+// probe, and whose pause is over.
+func (p *Pool) ProbesDue(now chivehillclock.Millis) []chivehillid.ServerID {
+	var due []chivehillid.ServerID
+	for _, id := range p.order {
+		s := p.servers[id]
+		if !s.out && (s.needsProbe || s.draining) && now >= s.suspendedUntil {
+			due = append(due, id)
+		}
+	}
+	return due
+}
--- /dev/null
+++ b/internal/chivehillbalance/types.go
@@ -0,0 +1,226 @@
+// Package chivehillbalance decides which server of a pool runs each request.
+//
+// Each server has one owner host, which knows how many requests run on it and
+// lends its slots: to its own requests directly, to other hosts by a grant.
+// The request itself stays at the host where it arrived until that host holds
+// a slot, so a request that waits was never sent.
+//
+// A Pool is a state machine for one pool at one host. It does no I/O and
+// reads no clock: the caller passes the time with each event and carries out
+// the returned actions. The same code runs in the program, in the randomised
+// run and in the benchmark.
+package chivehillbalance
+
+import (
+	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillreason"
+	"github.com/chivehill/chivehill/internal/chivehillregion"
+	"github.com/chivehill/chivehill/internal/chivehillwire"
+)
+
+// RequestID identifies one attempt of a request within its host and pool.
+type RequestID uint64
+
+// Request is one attempt to run a request.
+type Request struct {
+	ID       RequestID
+	Deadline chivehillclock.Millis
+	Tenant   chivehillid.TenantID
+	Regions  chivehillregion.Set
+	// Exclude lists servers that must not be used.
+	Exclude []chivehillid.ServerID
+	// NoQueue refuses the request at once when no slot is idle.
+	NoQueue bool
+	// LinkOpen allows servers of other regions.
+	LinkOpen bool
+}
+
+// Result tells how a slot was used.
+type Result string
+
+// The results.
+const (
+	// Good is a whole answer.
+	Good Result = "good"
+	// Failed is an answer that reports a failure of the server, or a connection that could not be made.
+	Failed Result = "failed"
+	// Shed is the server's own refusal before it started the request.
+	Shed Result = "shed"
+	// Killed is a connection that broke while the server ran the request.
+	Killed Result = "killed"
+	// Silent is a server that did not answer by the deadline.
+	Silent Result = "silent"
+	// Drains is a refusal by a server that is about to leave.
+	Drains Result = "draining"
+	// Unused means that the slot was never used.
+	Unused Result = "unused"
+	// Cancelled means that the sender gave up for reasons of its own.
+	Cancelled Result = "cancelled"
+)
+
+// Owned describes a server that this host owns.
+type Owned struct {
+	Server chivehillid.ServerID
+	Slots  chivehillid.Slots
+	// Out is set while the server's failure domain is out of service.
+	Out bool
+	// KnownLimit is the limit that the previous owner last reported, 0 if unknown.
+	KnownLimit chivehillid.Slots
+	// KnownDraining is set if the previous owner saw the server drain.
+	KnownDraining bool
+	// ConfirmedFrom is the time until which a previous owner may still act.
+	ConfirmedFrom chivehillclock.Millis
+}
+
+// Peer describes another entry host.
+type Peer struct {
+	Host   chivehillid.HostID
+	Region chivehillid.RegionID
+	// RoundTrip is the expected time to the peer and back.
+	RoundTrip chivehillclock.Millis
+}
+
+// Event is something that happened to a pool.
+type Event interface{ event() }
+
+// Submit starts an attempt.
+type Submit struct{ Request Request }
+
+// Cancel ends an attempt that has not been dispatched yet.
+type Cancel struct{ Request RequestID }
+
+// Finish gives back the slot of a dispatched attempt.
+type Finish struct {
+	Owner  chivehillid.HostID
+	Grant  chivehillid.GrantID
+	Result Result
+	Took   chivehillclock.Millis
+	// Cold is set if the server reported a cold start.
+	Cold bool
+}
+
+// Receive carries messages of a peer about this pool.
+type Receive struct {
+	From     chivehillid.HostID
+	Messages chivehillwire.PoolMessages
+	// Issued is a time of this host's clock that is not later than the sending.
+	Issued chivehillclock.Millis
+}
+
+// SetPeers replaces the set of reachable peers.
+type SetPeers struct{ Peers []Peer }
+
+// SetOwned replaces the set of owned servers.
+type SetOwned struct{ Servers []Owned }
+
+// Confirm extends the time until which this host's ownership is confirmed.
+type Confirm struct{ Until chivehillclock.Millis }
+
+// Probed carries the result of a health probe.
+type Probed struct {
+	Server   chivehillid.ServerID
+	Healthy  bool
+	Cold     bool
+	Draining bool
+}
+
+// Undisputed tells that no other host can act as owner of a server any more.
+type Undisputed struct {
+	Server chivehillid.ServerID
+	From   chivehillclock.Millis
+	// KnownLimit is the limit that the previous owner reported, 0 if unknown.
+	KnownLimit chivehillid.Slots
+}
+
+// Tick lets time pass: expires waits and slots and starts waiting requests.
+type Tick struct{}
+
+func (Submit) event()     {}
+func (Cancel) event()     {}
+func (Finish) event()     {}
+func (Receive) event()    {}
+func (SetPeers) event()   {}
+func (SetOwned) event()   {}
+func (Confirm) event()    {}
+func (Probed) event()     {}
+func (Undisputed) event() {}
+func (Tick) event()       {}
+
+// Action is something that the caller of a Pool must carry out.
+type Action interface{ action() }
+
+// Dispatch hands a slot to a request of this host. The request must be sent
+// before ValidUntil, or the slot given back as Unused.
+type Dispatch struct {
+	Request    RequestID
+	Owner      chivehillid.HostID
+	Grant      chivehillid.GrantID
+	Server     chivehillid.ServerID
+	ValidUntil chivehillclock.Millis
+	// Cold is set if the server is in a cold start.
+	Cold bool
+}
+
+// Refuse ends an attempt that was never dispatched.
+type Refuse struct {
+	Request RequestID
+	Reason  chivehillreason.Reason
+}
+
+// Send carries messages to a peer.
+type Send struct {
+	To       chivehillid.HostID
+	Messages chivehillwire.PoolMessages
+}
+
+// Released tells that a server that this host owned has no lent slot left.
+type Released struct {
+	Server   chivehillid.ServerID
+	Limit    chivehillid.Slots
+	Draining bool
+}
+
+func (Released) action() {}
+func (Dispatch) action() {}
+func (Refuse) action()   {}
+func (Send) action()     {}
+
+// Config holds the parameters of a pool at a host.
+type Config struct {
+	Self   chivehillid.HostID
+	Region chivehillid.RegionID
+	Pool   chivehillid.PoolID
+	// ColdConcurrency is the number of requests that a cold server bears. It is at least 1.
+	ColdConcurrency chivehillid.Slots
+	// ColdUnconfirmed is the same for an owner that is not confirmed.
+	ColdUnconfirmed chivehillid.Slots
+	// RampSuccesses is the number of good responses for each further slot. It is at least 1.
+	RampSuccesses int
+	// Slack is the number of requests beyond its slots that a warm server is sent while others wait.
+	Slack chivehillid.Slots
+	// Fanout is the number of owners at which a request waits at the same time. It is at least 1.
+	Fanout int
+	// GrantValid is the time within which a granted slot must be used.
+	GrantValid chivehillclock.Millis
+	// Hooks for experiments: each switches one mechanism off.
+	Off Switches
+}
+
+// Switches turn mechanisms off, for experiments that measure what each earns.
+type Switches struct {
+	Fairness  bool
+	Admission bool
+	Ramp      bool
+	Ejection  bool
+	Steal     bool
+}
+
+// Defaults of Config.
+const (
+	DefaultColdConcurrency chivehillid.Slots     = 1
+	DefaultRampSuccesses                         = 8
+	DefaultSlack           chivehillid.Slots     = 1
+	DefaultFanout                                = 2
+	DefaultGrantValid      chivehillclock.Millis = 100
+)
--- /dev/null
+++ b/internal/chivehillentry/entry.go
@@ -0,0 +1,260 @@
+// Package chivehillentry serves callers: it finds a slot for each request,
+// sends it, and tells the caller truthfully what became of it.
+package chivehillentry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/julienschmidt/httprouter"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/chivehill/chivehill/internal/chivehillbudget"
+	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillconfig"
+	"github.com/chivehill/chivehill/internal/chivehilldispatch"
+	"github.com/chivehill/chivehill/internal/chivehillheader"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillkey"
+	"github.com/chivehill/chivehill/internal/chivehillmetrics"
+	"github.com/chivehill/chivehill/internal/chivehillreason"
+	"github.com/chivehill/chivehill/internal/chivehillregion"
+	"github.com/chivehill/chivehill/internal/chivehillslot"
+	"github.com/chivehill/chivehill/internal/chivehillsuspect"
+	"github.com/chivehill/chivehill/internal/chivehillwire"
+)
+
+const (
+	// requestIDBytes is the length of a request id in random bytes.
+	requestIDBytes = 8
+	maxRequestID   = 64
+	// streamBytes is the largest answer to an idempotent request that is read
+	// whole before it is passed on; larger ones are streamed.
+	streamBytes = 64 << 10
+	// keyedBytes is the largest answer to a non-idempotent request.
+	keyedBytes = 8 << 20
+)
+
+// Cluster is what an entry needs to know of the rest of the system.
+type Cluster interface {
+	// View returns the configuration in force, or nil.
+	View() *chivehillconfig.View
+	// MayServe reports whether the configuration in force can be trusted now.
+	MayServe() bool
+	// Leaving reports whether a planned stop is under way.
+	Leaving() bool
+	// Member returns the reachable member with an incarnation, or the successor
+	// that holds its key table.
+	Member(i chivehillid.Incarnation, host chivehillid.HostID) (chivehillwire.Member, bool)
+	// Hosts returns the entry hosts for a pool.
+	Hosts(pool chivehillid.PoolID, regions chivehillregion.Set) []HostWeight
+	// RegionOf returns the region of a failure domain.
+	RegionOf(d chivehillid.DomainID) chivehillid.RegionID
+	// TellSuspect tells the members of the allowed regions of a killed connection.
+	TellSuspect(f chivehillid.Fingerprint, kills int, regions chivehillregion.Set)
+}
+
+// Options of an entry.
+type Options struct {
+	Self       chivehillwire.Member
+	Limits     chivehillwire.Limits
+	Clock      *chivehillclock.Clock
+	Cluster    Cluster
+	Slots      *chivehillslot.Manager
+	Dispatcher *chivehilldispatch.Dispatcher
+	Table      *chivehillkey.Table
+	Adopted    *chivehillkey.Adopted
+	Suspects   *chivehillsuspect.Table
+	Metrics    *chivehillmetrics.Metrics
+	Log        zerolog.Logger
+}
+
+// Entry is the handler of the callers' address.
+type Entry struct {
+	Options
+	router  *httprouter.Router
+	link    *chivehillbudget.Bucket
+	hedges  *chivehillbudget.Share
+	retries *chivehillbudget.Share
+	delays  delays
+	// running counts sendings and non-idempotent requests, which can outlive their callers.
+	running conc.WaitGroup
+}
+
+// New returns an entry.
+func New(o Options) *Entry {
+	const shareBurst = 10
+	e := &Entry{
+		Options: o,
+		router:  httprouter.New(),
+		link:    chivehillbudget.NewBucket(float64(o.Limits.LinkBytesPerSecond), float64(o.Limits.LinkBytesPerSecond)),
+		hedges:  chivehillbudget.NewShare(o.Limits.HedgePercent, shareBurst),
+		retries: chivehillbudget.NewShare(o.Limits.RetryPercent, shareBurst),
+	}
+	e.router.GET(HostsPath, e.hosts)
+	e.router.RedirectTrailingSlash = false
+	e.router.RedirectFixedPath = false
+	e.router.HandleMethodNotAllowed = false
+	e.router.NotFound = http.HandlerFunc(e.serve)
+	return e
+}
+
+// ServeHTTP serves callers.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.router.ServeHTTP(w, r)
+}
+
+// Wait waits until all sendings have ended.
+func (e *Entry) Wait() {
+	e.running.Wait()
+}
+
+// call is one request of a caller.
+type call struct {
+	id          string
+	tenant      chivehillid.TenantID
+	arrived     chivehillclock.Millis
+	deadline    chivehillclock.Millis
+	route       chivehillwire.RouteSpec
+	regions     chivehillregion.Set
+	request     chivehilldispatch.Request
+	fingerprint chivehillid.Fingerprint
+}
+
+// serve handles one request of a caller.
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
+	c := &call{id: requestID(r), arrived: e.Clock.Now(), tenant: chivehillid.TenantID(r.Header.Get(chivehillheader.Tenant))}
+	w.Header().Set(chivehillheader.RequestID, c.id)
+	key, keyErr := e.key(r)
+	early := e.earlyOutcome(key, keyErr)
+	view := e.Cluster.View()
+	if view == nil {
+		e.refuse(w, c, chivehillreason.Refusal{Outcome: early, Reason: chivehillreason.ConfigMissing})
+		return
+	}
+	route, found := view.Route(r.URL.Path, c.tenant)
+	if !found {
+		e.refuse(w, c, chivehillreason.Refusal{Outcome: early, Reason: chivehillreason.NoRoute})
+		return
+	}
+	c.route = route
+	c.regions = view.Regions(route.Route, c.tenant)
+	if !c.regions.Allows(e.Self.Region) {
+		e.refuse(w, c, chivehillreason.Refusal{Outcome: early, Reason: chivehillreason.RegionForbidden})
+		return
+	}
+	if !e.setDeadline(c, r) {
+		e.refuse(w, c, chivehillreason.Refusal{Outcome: early, Reason: chivehillreason.BadDeadline})
+		return
+	}
+	if route.Idempotent {
+		e.serveIdempotent(w, r, c)
+		return
+	}
+	e.serveKeyed(w, r, c, key, keyErr)
+}
+
+func requestID(r *http.Request) string {
+	if id := r.Header.Get(chivehillheader.RequestID); id != "" && len(id) <= maxRequestID {
+		return id
+	}
+	raw := make([]byte, requestIDBytes)
+	_, _ = rand.Read(raw)
+	return hex.EncodeToString(raw)
+}
+
+// setDeadline takes the route's deadline or the caller's, whichever is earlier.
+func (e *Entry) setDeadline(c *call, r *http.Request) bool {
+	left := c.route.DeadlineMs
+	if text := r.Header.Get(chivehillheader.DeadlineMs); text != "" {
+		asked, err := strconv.Atoi(text)
+		if err != nil || asked < 1 {
+			return false
+		}
+		left = min(left, chivehillclock.Millis(asked))
+	}
+	c.deadline = c.arrived + left
+	return true
+}
+
+// readRequest reads the body, up to the bound, and computes the fingerprint.
+func (e *Entry) readRequest(r *http.Request, c *call, buffer int64) (chivehillreason.Reason, bool) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, int64(e.Limits.MaxBodyBytes)+1))
+	if err != nil {
+		return chivehillreason.BodyUnreadable, false
+	}
+	if len(body) > int(e.Limits.MaxBodyBytes) {
+		return chivehillreason.BodyTooLarge, false
+	}
+	c.request = chivehilldispatch.Request{
+		Method: r.Method, Target: r.URL.RequestURI(), Header: r.Header, Body: body, BufferBytes: buffer, Regions: c.regions,
+	}
+	c.request.Header.Set(chivehillheader.RequestID, c.id)
+	h := xxhash.New()
+	for _, part := range []string{string(c.route.Route), string(c.tenant), r.Method, r.URL.RequestURI()} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(body)
+	c.fingerprint = chivehillid.Fingerprint(h.Sum64())
+	return "", true
+}
+
+// callContext bounds the work for a call by its deadline.
+func (e *Entry) callContext(ctx context.Context, until chivehillclock.Millis) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, (until - e.Clock.Now()).Duration())
+}
+
+// refusalBody is the JSON body of a refusal.
+type refusalBody struct {
+	Outcome   chivehillreason.Outcome `json:"outcome"`
+	Reason    chivehillreason.Reason  `json:"reason"`
+	RequestID string                  `json:"request-id"`
+}
+
+// refuse answers without a result from a server.
+func (e *Entry) refuse(w http.ResponseWriter, c *call, r chivehillreason.Refusal) {
+	e.Metrics.Refuse(r)
+	e.Metrics.Requests.WithLabelValues(string(c.route.Route), string(r.Outcome)).Inc()
+	h := w.Header()
+	h.Set(chivehillheader.Outcome, string(r.Outcome))
+	h.Set(chivehillheader.Reason, string(r.Reason))
+	h.Set("Content-Type", "application/json")
+	if e.Cluster.Leaving() {
+		h.Set("Connection", "close")
+	}
+	w.WriteHeader(chivehillreason.Status(r.Outcome, r.Reason))
+	_ = json.NewEncoder(w).Encode(refusalBody{Outcome: r.Outcome, Reason: r.Reason, RequestID: c.id})
+}
+
+// answer passes an answer on. A body that breaks off closes the caller's
+// connection, so that a part is never taken for the whole.
+func (e *Entry) answer(w http.ResponseWriter, c *call, resp *chivehilldispatch.Response) {
+	e.Metrics.Requests.WithLabelValues(string(c.route.Route), string(chivehillreason.Done)).Inc()
+	h := w.Header()
+	chivehillheader.CopyEndToEnd(h, resp.Header)
+	h.Set(chivehillheader.Outcome, string(chivehillreason.Done))
+	h.Set(chivehillheader.RequestID, c.id)
+	if e.Cluster.Leaving() {
+		h.Set("Connection", "close")
+	}
+	w.WriteHeader(resp.Status)
+	_, err := w.Write(resp.Body)
+	if resp.Rest == nil {
+		return
+	}
+	if err == nil {
+		_, err = io.Copy(w, resp.Rest)
+	}
+	_ = resp.Rest.Close()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/chivehillentry/hosts.go
@@ -0,0 +1,63 @@
+package chivehillentry
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillreason"
+	"github.com/chivehill/chivehill/internal/chivehillregion"
+)
+
+// HostsPath is the path at which callers ask which host to use.
+const HostsPath = "/.chivehill/hosts"
+
+// HostWeight is one entry host that a caller may use.
+type HostWeight struct {
+	Host    chivehillid.HostID   `json:"host"`
+	Address string               `json:"address"`
+	Region  chivehillid.RegionID `json:"region"`
+	// Weight is the share of requests to send there. Hosts of weight 0 are for
+	// use when no other answers.
+	Weight int `json:"weight"`
+}
+
+// HostsAnswer tells a caller which hosts to use.
+type HostsAnswer struct {
+	Hosts  []HostWeight          `json:"hosts"`
+	KeepMs chivehillclock.Millis `json:"keep-ms"`
+	// KeyPrefix starts the keys of non-idempotent requests that are sent to the
+	// answering host. It is absent if that host may not run them.
+	KeyPrefix string             `json:"key-prefix,omitempty"`
+	Host      chivehillid.HostID `json:"host"`
+}
+
+// hosts answers which hosts to use for a path and tenant.
+func (e *Entry) hosts(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	c := &call{id: requestID(r), tenant: chivehillid.TenantID(r.URL.Query().Get("tenant"))}
+	view := e.Cluster.View()
+	if view == nil {
+		e.refuse(w, c, chivehillreason.Refusal{Outcome: chivehillreason.NotRun, Reason: chivehillreason.ConfigMissing})
+		return
+	}
+	var pool chivehillid.PoolID
+	regions := chivehillregion.Everywhere()
+	if path := r.URL.Query().Get("path"); path != "" {
+		route, found := view.Route(path, c.tenant)
+		if !found {
+			e.refuse(w, c, chivehillreason.Refusal{Outcome: chivehillreason.NotRun, Reason: chivehillreason.NoRoute})
+			return
+		}
+		pool = route.Pool
+		regions = view.Regions(route.Route, c.tenant)
+	}
+	answer := HostsAnswer{Hosts: e.Cluster.Hosts(pool, regions), KeepMs: e.Limits.AnswerKeepMs, Host: e.Self.Host}
+	if regions.Allows(e.Self.Region) && !e.Cluster.Leaving() {
+		answer.KeyPrefix = e.Table.Prefix(e.Clock.Now())
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer)
+}
--- /dev/null
+++ b/internal/chivehillnode/node.go
@@ -0,0 +1,280 @@
+// Package chivehillnode assembles an entry host from its parts.
+package chivehillnode
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/chivehill/chivehill/internal/chivehilladmin"
+	"github.com/chivehill/chivehill/internal/chivehillbudget"
+	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehilldispatch"
+	"github.com/chivehill/chivehill/internal/chivehillentry"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillinvariant"
+	"github.com/chivehill/chivehill/internal/chivehillkey"
+	"github.com/chivehill/chivehill/internal/chivehillmember"
+	"github.com/chivehill/chivehill/internal/chivehillmetrics"
+	"github.com/chivehill/chivehill/internal/chivehillowner"
+	"github.com/chivehill/chivehill/internal/chivehillpeer"
+	"github.com/chivehill/chivehill/internal/chivehillquery"
+	"github.com/chivehill/chivehill/internal/chivehillslot"
+	"github.com/chivehill/chivehill/internal/chivehillstate"
+	"github.com/chivehill/chivehill/internal/chivehillstore"
+	"github.com/chivehill/chivehill/internal/chivehillsuspect"
+	"github.com/chivehill/chivehill/internal/chivehillsync"
+	"github.com/chivehill/chivehill/internal/chivehillwire"
+)
+
+const (
+	incarnationBytes = 8
+	headerTimeout    = 5 * time.Second
+	bodyTimeout      = 30 * time.Second
+	idleTimeout      = 2 * time.Minute
+	maxHeaderBytes   = 64 << 10
+	// leasePolls is the number of long polls in one lease time.
+	leasePolls = 3
+)
+
+// Node is one entry host.
+type Node struct {
+	settings chivehillwire.Settings
+	self     chivehillwire.Member
+	clock    *chivehillclock.Clock
+	log      zerolog.Logger
+	metrics  *chivehillmetrics.Metrics
+	state    *chivehillstate.State
+	sync     *chivehillsync.Sync
+	mesh     *chivehillpeer.Mesh
+	slots    *chivehillslot.Manager
+	table    *chivehillkey.Table
+	adopted  *chivehillkey.Adopted
+	suspects *chivehillsuspect.Table
+	entry    *chivehillentry.Entry
+	dispatch *chivehilldispatch.Dispatcher
+	probes   *chivehillbudget.Bucket
+
+	leaving atomic.Bool
+	// reconfigure is signalled after each change of configuration, membership or reachability.
+	reconfigure chan struct{}
+
+	mu      sync.Mutex
+	tracker *chivehillowner.Tracker
+	// beats holds the newest beat of each peer.
+	beats map[chivehillid.HostID]peerBeat
+	// known holds what previous owners reported of their servers.
+	known map[chivehillid.ServerID]knownServer
+	// successors maps the incarnation of a host that left to its successor.
+	successors map[chivehillid.Incarnation]chivehillid.HostID
+	// taken is closed when the successor of this host has the whole key table.
+	taken chan struct{}
+	// seeds are members from the host list, used while no membership is known.
+	seeds []chivehillwire.Member
+	// reported holds the server states that peers were last told.
+	reported map[chivehillid.ServerID]chivehillwire.ServerState
+
+	tasks  conc.WaitGroup
+	cancel context.CancelFunc
+}
+
+// New assembles a node. Start starts it.
+func New(s chivehillwire.Settings, log zerolog.Logger) (*Node, error) {
+	raw := make([]byte, incarnationBytes)
+	if _, err := rand.Read(raw); err != nil {
+		return nil, fmt.Errorf("draw incarnation: %w", err)
+	}
+	secret, err := readSecret(s.PeerSecretFile)
+	if err != nil {
+		return nil, err
+	}
+	clock := chivehillclock.New()
+	n := &Node{
+		settings: s, clock: clock, log: log, metrics: chivehillmetrics.New(),
+		self: chivehillwire.Member{
+			Host: s.Host, Incarnation: chivehillid.Incarnation(hex.EncodeToString(raw)), Region: s.Region,
+			FailureDomain: s.FailureDomain, CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress,
+		},
+		adopted: chivehillkey.NewAdopted(), suspects: chivehillsuspect.New(), dispatch: chivehilldispatch.New(clock),
+		probes:      chivehillbudget.NewBucket(s.Limits.ProbeRequestsPerSecond, max(1, s.Limits.ProbeRequestsPerSecond)),
+		reconfigure: make(chan struct{}, 1), taken: make(chan struct{}),
+		beats: make(map[chivehillid.HostID]peerBeat), known: make(map[chivehillid.ServerID]knownServer),
+		successors: make(map[chivehillid.Incarnation]chivehillid.HostID),
+		reported:   make(map[chivehillid.ServerID]chivehillwire.ServerState),
+	}
+	chivehillinvariant.SetHandler(n.violation)
+	n.state = chivehillstate.New(n.signal)
+	n.table = chivehillkey.NewTable(n.self.Host, n.self.Incarnation, chivehillkey.Limits{
+		MaxKeys: s.Limits.MaxKeys, KeptBytes: s.Limits.KeptAnswerBytes, Window: s.Limits.KeyWindowMs, Keep: s.Limits.KeyKeepMs,
+	}, clock.Now())
+	n.sync = &chivehillsync.Sync{
+		Store: chivehillstore.NewClient(s.StoreAddress), State: n.state, Clock: clock, Metrics: n.metrics, Log: log,
+		Wait: s.Limits.MembershipLeaseMs / leasePolls,
+	}
+	n.mesh = chivehillpeer.New(chivehillpeer.Options{
+		Self: n.self, Secret: secret, Silence: s.Limits.PeerSilenceMs, Clock: clock, Metrics: n.metrics, Log: log, Receive: n.receive,
+	})
+	n.slots = chivehillslot.New(clock, chivehillslot.Hooks{Send: n.sendPool, Released: n.released})
+	n.entry = chivehillentry.New(chivehillentry.Options{
+		Self: n.self, Limits: *s.Limits, Clock: clock, Cluster: n, Slots: n.slots, Dispatcher: n.dispatch,
+		Table: n.table, Adopted: n.adopted, Suspects: n.suspects, Metrics: n.metrics, Log: log,
+	})
+	return n, nil
+}
+
+func readSecret(path string) ([]byte, error) {
+	if path == "" {
+		return nil, nil
+	}
+	secret, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read peer secret: %w", err)
+	}
+	return bytes.TrimSpace(secret), nil
+}
+
+func (n *Node) violation(name chivehillinvariant.Name, detail string) {
+	n.metrics.Violation(name)
+	n.log.Error().Str("invariant", string(name)).Str("detail", detail).Msg("invariant: violated.")
+}
+
+func (n *Node) signal() {
+	select {
+	case n.reconfigure <- struct{}{}:
+	default:
+	}
+}
+
+// Run serves until ctx ends and then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	token, err := readSecret(n.settings.OperatorTokenFile)
+	if err != nil {
+		return fmt.Errorf("read operator token: %w", err)
+	}
+	admin := chivehilladmin.New(chivehilladmin.Options{
+		Store: n.sync.Store, State: n.state, Topology: n.settings.Topology, Token: token, Log: n.log, Metrics: n.metrics, InForce: n.inForce,
+	})
+	query := chivehillquery.New(n, n.metrics, admin)
+	callers := n.server(n.entry)
+	callers.Protocols = new(http.Protocols)
+	callers.Protocols.SetHTTP1(true)
+	callers.Protocols.SetUnencryptedHTTP2(true)
+	peerMux := http.NewServeMux()
+	peerMux.Handle(chivehillpeer.Path, n.mesh)
+	peers := n.server(peerMux)
+	operators := n.server(query)
+	listeners, err := listen(n.settings.CallerAddress, n.settings.PeerAddress, n.settings.OperatorAddress)
+	if err != nil {
+		return err
+	}
+	work, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.startTasks(work)
+	for i, s := range []*http.Server{callers, peers, operators} {
+		n.tasks.Go(func() { n.serve(s, listeners[i]) })
+	}
+	n.log.Info().Str("host", string(n.self.Host)).Str("incarnation", string(n.self.Incarnation)).Msg("node: started.")
+	<-ctx.Done()
+	n.stop(callers)
+	_ = peers.Close()
+	_ = operators.Close()
+	cancel()
+	n.mesh.Close()
+	n.tasks.Wait()
+	n.dispatch.Close()
+	n.log.Info().Msg("node: stopped.")
+	return nil
+}
+
+func listen(addresses ...string) ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, a := range addresses {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			for _, open := range listeners {
+				_ = open.Close()
+			}
+			return nil, fmt.Errorf("listen on %s: %w", a, err)
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
+func (n *Node) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+func (n *Node) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		n.log.Error().Str("step", "serve").Str("address", l.Addr().String()).Err(err).Msg("node: listener failed.")
+	}
+}
+
+// startTasks starts what runs beside the servers.
+func (n *Node) startTasks(ctx context.Context) {
+	n.mu.Lock()
+	n.tracker = chivehillowner.NewTracker(n.clock.Now(), n.settings.Limits.MembershipLeaseMs)
+	n.mu.Unlock()
+	n.tasks.Go(func() { n.sync.FollowConfiguration(ctx) })
+	n.tasks.Go(func() { n.sync.FollowMembership(ctx) })
+	n.tasks.Go(func() { n.keepJoined(ctx) })
+	n.tasks.Go(func() { n.followHostList(ctx) })
+	n.tasks.Go(func() { n.reconfigureLoop(ctx) })
+	n.every(ctx, tickPeriod, n.tick)
+	n.every(ctx, beatPeriod, n.beat)
+	n.every(ctx, housekeepingPeriod, n.housekeeping)
+	n.every(ctx, probePeriod, func() { n.probe(ctx) })
+}
+
+func (n *Node) every(ctx context.Context, period chivehillclock.Millis, do func()) {
+	n.tasks.Go(func() {
+		t := time.NewTicker(period.Duration())
+		defer t.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+				do()
+			}
+		}
+	})
+}
+
+// joinPause is the time between two checks that this host is a member.
+const joinPause = 500 * time.Millisecond
+
+// keepJoined keeps this host in the membership until it leaves.
+func (n *Node) keepJoined(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !n.leaving.Load() && !n.joined() {
+			if err := n.sync.ChangeMembership(ctx, chivehillmember.Join(n.self)); err != nil && ctx.Err() == nil {
+				n.log.Warn().Str("step", "join").Str("peer", "store").Err(err).Msg("member: join failed.")
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(joinPause):
+		}
+	}
+}
+
+func (n *Node) joined() bool {
+	m, found := chivehillmember.Find(n.state.Membership(), n.self.Host)
+	return found && m.Incarnation == n.self.Incarnation
+}
--- /dev/null
+++ b/internal/chivehillnode/peers.go
@@ -0,0 +1,200 @@
+package chivehillnode
+
+import (
+	"context"
+	"slices"
+
+	"github.com/chivehill/chivehill/internal/chivehillbalance"
+	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillmember"
+	"github.com/chivehill/chivehill/internal/chivehillpeer"
+	"github.com/chivehill/chivehill/internal/chivehillregion"
+	"github.com/chivehill/chivehill/internal/chivehillwire"
+)
+
+const (
+	tickPeriod         = 5 * chivehillclock.Millisecond
+	beatPeriod         = 300 * chivehillclock.Millisecond
+	housekeepingPeriod = chivehillclock.Second
+	probePeriod        = 200 * chivehillclock.Millisecond
+)
+
+// peerBeat is the newest beat of a peer.
+type peerBeat struct {
+	member chivehillwire.Member
+	beat   chivehillwire.Beat
+	at     chivehillclock.Millis
+}
+
+func (n *Node) tick() {
+	n.slots.Tick()
+}
+
+// beat tells all peers the state of this host and notices changes of reachability.
+func (n *Node) beat() {
+	n.beatNow()
+	n.confirm()
+	n.slots.HandleAll(chivehillbalance.SetPeers{Peers: n.poolPeers()})
+}
+
+func (n *Node) beatNow() {
+	now := n.clock.Now()
+	f := n.state.Freshness()
+	beat := chivehillwire.Beat{
+		Version: n.state.Version(), Epoch: n.state.Membership().Epoch,
+		ConfigAgeMs: now - f.ConfigConfirmedAt, MembershipAgeMs: now - f.MembershipConfirmedAt,
+		StoreReachable: now-f.StoreReachedAt < n.settings.Limits.MembershipLeaseMs, Leaving: n.leaving.Load(),
+	}
+	n.mesh.Broadcast(chivehillpeer.Everyone, func(e *chivehillwire.Envelope) { e.Beat = &beat })
+}
+
+// housekeeping does what is due about once a second.
+func (n *Node) housekeeping() {
+	now := n.clock.Now()
+	n.table.Expire(now)
+	n.adopted.Expire(now)
+	n.metrics.Keys.Set(float64(n.table.Len()))
+	n.metrics.KeptBytes.Set(float64(n.table.KeptBytes()))
+	n.reportServers()
+	n.removeSilent(context.Background())
+}
+
+// sendPool passes messages of a pool to a peer.
+func (n *Node) sendPool(to chivehillid.HostID, m chivehillwire.PoolMessages) {
+	n.mesh.Send(to, func(e *chivehillwire.Envelope) { chivehillpeer.AddPool(e, m) })
+}
+
+// receive handles a message of a peer.
+func (n *Node) receive(m chivehillpeer.Message) {
+	e := m.Envelope
+	if e.Beat != nil {
+		n.takeBeat(m, *e.Beat)
+	}
+	for _, p := range e.Pools {
+		n.slots.Handle(p.Pool, chivehillbalance.Receive{From: m.From.Host, Messages: p, Issued: m.Issued})
+	}
+	if e.Configuration != nil {
+		n.state.SetConfiguration(*e.Configuration)
+	}
+	if e.Membership != nil {
+		n.state.SetMembership(n.clock.Now(), *e.Membership)
+	}
+	if e.ConfigurationWanted || e.MembershipWanted {
+		n.sendState(m.From.Host, e.ConfigurationWanted, e.MembershipWanted)
+	}
+	for _, s := range e.Suspects {
+		n.suspects.Merge(n.clock.Now(), s.Fingerprint, m.From.Host, s.Kills, s.LeftMs)
+	}
+	for _, s := range e.ServerStates {
+		n.takeServerState(m.From.Host, s)
+	}
+	if e.Handover != nil {
+		n.takeHandover(m.From, *e.Handover)
+	}
+	if e.HandoverTaken == n.self.Incarnation {
+		n.handoverTaken()
+	}
+	for _, s := range e.Successors {
+		n.takeSuccessor(s)
+	}
+}
+
+// takeBeat learns from a peer's beat and asks for what the peer has newer.
+func (n *Node) takeBeat(m chivehillpeer.Message, b chivehillwire.Beat) {
+	n.mu.Lock()
+	old := n.beats[m.From.Host]
+	n.beats[m.From.Host] = peerBeat{member: m.From, beat: b, at: n.clock.Now()}
+	n.mu.Unlock()
+	n.state.ConfirmConfiguration(m.Issued-b.ConfigAgeMs, b.Version)
+	n.state.ConfirmMembership(m.Issued-b.MembershipAgeMs, b.Epoch)
+	wantConfiguration := b.Version > n.state.Version()
+	wantMembership := b.Epoch > n.state.Membership().Epoch
+	if wantConfiguration || wantMembership {
+		n.mesh.Send(m.From.Host, func(e *chivehillwire.Envelope) {
+			e.ConfigurationWanted = e.ConfigurationWanted || wantConfiguration
+			e.MembershipWanted = e.MembershipWanted || wantMembership
+		})
+	}
+	if old.member.Incarnation != m.From.Incarnation || old.beat.Leaving != b.Leaving {
+		n.signal()
+	}
+}
+
+func (n *Node) sendState(to chivehillid.HostID, configuration, membership bool) {
+	view := n.state.View()
+	members := n.state.Membership()
+	n.mesh.Send(to, func(e *chivehillwire.Envelope) {
+		if configuration && view != nil {
+			e.Configuration = &view.Configuration
+		}
+		if membership && members.Epoch > 0 {
+			e.Membership = &members
+		}
+	})
+}
+
+// TellSuspect tells the members of the allowed regions of a killed connection.
+func (n *Node) TellSuspect(f chivehillid.Fingerprint, kills int, regions chivehillregion.Set) {
+	suspect := chivehillwire.Suspect{Fingerprint: f, Kills: kills, LeftMs: suspectHold}
+	n.mesh.Broadcast(
+		func(m chivehillwire.Member) bool { return regions.Allows(m.Region) },
+		func(e *chivehillwire.Envelope) { e.Suspects = append(e.Suspects, suspect) },
+	)
+}
+
+// Member returns the reachable member with an incarnation, or the successor
+// that holds its key table.
+func (n *Node) Member(i chivehillid.Incarnation, host chivehillid.HostID) (chivehillwire.Member, bool) {
+	n.mu.Lock()
+	successor, moved := n.successors[i]
+	n.mu.Unlock()
+	m, found := chivehillmember.Find(n.state.Membership(), host)
+	if moved {
+		return chivehillmember.Find(n.state.Membership(), successor)
+	}
+	return m, found && m.Incarnation == i
+}
+
+// MayServe reports whether the configuration in force can be trusted: the
+// store or a peer confirmed it of late, or most members of the region are
+// reachable, so that the store is down rather than this host cut off.
+func (n *Node) MayServe() bool {
+	if n.state.View() == nil {
+		return false
+	}
+	if n.clock.Now()-n.state.Freshness().ConfigConfirmedAt < n.settings.Limits.ConfigGraceMs {
+		return true
+	}
+	size, reachable := 1, 1
+	for _, m := range n.members() {
+		if m.Region == n.self.Region && m.Host != n.self.Host {
+			size++
+		}
+	}
+	for _, m := range n.mesh.Reachable() {
+		if m.Region == n.self.Region {
+			reachable++
+		}
+	}
+	return 2*reachable > size
+}
+
+// Leaving reports whether a planned stop is under way.
+func (n *Node) Leaving() bool {
+	return n.leaving.Load()
+}
+
+// leavingPeers returns the peers that said that they leave.
+func (n *Node) leavingPeers() []chivehillid.HostID {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var hosts []chivehillid.HostID
+	for h, b := range n.beats {
+		if b.beat.Leaving {
+			hosts = append(hosts, h)
+		}
+	}
+	slices.Sort(hosts)
+	return hosts
+}
--- /dev/null
+++ b/internal/chivehillnode/probe.go
@@ -0,0 +1,59 @@
+package chivehillnode
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/chivehill/chivehill/internal/chivehillbalance"
+	"github.com/chivehill/chivehill/internal/chivehillheader"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+)
+
+const (
+	probeTimeout = 500 * time.Millisecond
+	// ProbePath is the path of a server's health check.
+	ProbePath = "/healthz"
+)
+
+// probe asks servers that broke or drain for their health, within the budget.
+func (n *Node) probe(ctx context.Context) {
+	view := n.state.View()
+	if view == nil {
+		return
+	}
+	for _, pool := range n.slots.Pools() {
+		for _, id := range n.slots.ProbesDue(pool) {
+			server, found := view.Server(id)
+			if !found {
+				continue
+			}
+			if !n.probes.Take(n.clock.Now(), 1) {
+				n.metrics.Probes.WithLabelValues("withheld").Inc()
+				continue
+			}
+			n.slots.Handle(pool, n.probeOne(ctx, id, server.Address))
+		}
+	}
+}
+
+func (n *Node) probeOne(ctx context.Context, id chivehillid.ServerID, address string) chivehillbalance.Probed {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	p := chivehillbalance.Probed{Server: id}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+ProbePath, nil)
+	if err != nil {
+		return p
+	}
+	resp, err := n.dispatch.Probe(req)
+	if err != nil {
+		n.metrics.Probes.WithLabelValues("failed").Inc()
+		return p
+	}
+	n.metrics.Probes.WithLabelValues("answered").Inc()
+	state := resp.Header.Get(chivehillheader.ServerState)
+	p.Draining = state == chivehillheader.StateDraining
+	p.Cold = state == chivehillheader.StateCold
+	p.Healthy = resp.StatusCode == http.StatusOK || p.Draining
+	return p
+}
--- /dev/null
+++ b/internal/chivehillpeer/handshake.go
@@ -0,0 +1,96 @@
+package chivehillpeer
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillwire"
+)
+
+// Protocol is the version of the peer protocol.
+const Protocol = 1
+
+// nonceBytes is the length of the random text in a handshake.
+const nonceBytes = 16
+
+// Errors of a handshake.
+var (
+	errProtocol = errors.New("peer speaks another protocol version")
+	errProof    = errors.New("peer does not know the shared secret")
+	errNoHello  = errors.New("first message is not a hello")
+)
+
+// handshake exchanges hellos and proofs. Both sides send the same messages.
+func (m *Mesh) handshake(ctx context.Context, conn *websocket.Conn) (chivehillwire.Member, error) {
+	raw := make([]byte, nonceBytes)
+	if _, err := rand.Read(raw); err != nil {
+		return chivehillwire.Member{}, fmt.Errorf("draw nonce: %w", err)
+	}
+	own := chivehillwire.Hello{Protocol: Protocol, Member: m.self, Nonce: hex.EncodeToString(raw)}
+	if err := write(ctx, conn, chivehillwire.Envelope{Hello: &own}); err != nil {
+		return chivehillwire.Member{}, fmt.Errorf("send hello: %w", err)
+	}
+	first, err := read(ctx, conn)
+	if err != nil {
+		return chivehillwire.Member{}, fmt.Errorf("receive hello: %w", err)
+	}
+	if first.Hello == nil {
+		return chivehillwire.Member{}, errNoHello
+	}
+	other := *first.Hello
+	if other.Protocol != Protocol {
+		return other.Member, errProtocol
+	}
+	proof := chivehillwire.Proof{Mac: m.mac(other.Nonce, own.Nonce, m.self.Host)}
+	if err := write(ctx, conn, chivehillwire.Envelope{Proof: &proof}); err != nil {
+		return other.Member, fmt.Errorf("send proof: %w", err)
+	}
+	second, err := read(ctx, conn)
+	if err != nil {
+		return other.Member, fmt.Errorf("receive proof: %w", err)
+	}
+	want := m.mac(own.Nonce, other.Nonce, other.Member.Host)
+	if second.Proof == nil || !hmac.Equal([]byte(second.Proof.Mac), []byte(want)) {
+		return other.Member, errProof
+	}
+	return other.Member, nil
+}
+
+// mac proves knowledge of the secret to the side that drew the first nonce.
+func (m *Mesh) mac(theirs, ours string, prover chivehillid.HostID) string {
+	h := hmac.New(sha256.New, m.secret)
+	h.Write([]byte(theirs + "." + ours + "." + string(prover)))
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func write(ctx context.Context, conn *websocket.Conn, e chivehillwire.Envelope) error {
+	data, err := cbor.Marshal(e)
+	if err != nil {
+		return fmt.Errorf("encode: %w", err)
+	}
+	return conn.Write(ctx, websocket.MessageBinary, data)
+}
+
+func read(ctx context.Context, conn *websocket.Conn) (chivehillwire.Envelope, error) {
+	var e chivehillwire.Envelope
+	kind, data, err := conn.Read(ctx)
+	if err != nil {
+		return e, err
+	}
+	if kind != websocket.MessageBinary {
+		return e, errMalformed
+	}
+	if err := decoder.Unmarshal(data, &e); err != nil {
+		return e, fmt.Errorf("%w: %w", errMalformed, err)
+	}
+	return e, nil
+}
--- /dev/null
+++ b/internal/chivehillpeer/link.go
@@ -0,0 +1,220 @@
+package chivehillpeer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillwire"
+)
+
+const (
+	minRedial = 50 * time.Millisecond
+	maxRedial = time.Second
+	// sendTimeout bounds the writing of one message.
+	sendTimeout = 2 * time.Second
+	// maxPendingPools bounds the pools in a message that is not sent yet.
+	maxPendingPools = 4096
+)
+
+var errOtherIncarnation = errors.New("peer is another incarnation")
+
+// link sends to one member.
+type link struct {
+	mesh   *Mesh
+	member chivehillwire.Member
+	since  chivehillclock.Millis
+	cancel context.CancelFunc
+	wake   chan struct{}
+
+	mu        sync.Mutex
+	connected bool
+	// pending is the message being collected, nil if there is none.
+	pending *chivehillwire.Envelope
+}
+
+// startLink starts to connect to a member.
+func (m *Mesh) startLink(member chivehillwire.Member) *link {
+	ctx, cancel := context.WithCancel(m.ctx)
+	l := &link{mesh: m, member: member, since: m.clock.Now(), cancel: cancel, wake: make(chan struct{}, 1)}
+	m.tasks.Go(func() { l.run(ctx) })
+	return l
+}
+
+func (l *link) stop() {
+	l.cancel()
+}
+
+func (l *link) isConnected() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.connected
+}
+
+// add changes the pending message and wakes the sender.
+func (l *link) add(change func(*chivehillwire.Envelope)) bool {
+	l.mu.Lock()
+	if !l.connected {
+		l.mu.Unlock()
+		return false
+	}
+	if l.pending == nil {
+		l.pending = &chivehillwire.Envelope{}
+	}
+	change(l.pending)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+func (l *link) take() *chivehillwire.Envelope {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.pending
+	l.pending = nil
+	return e
+}
+
+func (l *link) setConnected(connected bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.connected = connected
+	l.pending = nil
+}
+
+// run connects again and again until the link is stopped.
+func (l *link) run(ctx context.Context) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = minRedial
+	pause.MaxInterval = maxRedial
+	for ctx.Err() == nil {
+		if l.session(ctx) {
+			pause.Reset()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause.NextBackOff()):
+		}
+	}
+}
+
+// session dials and sends until the connection ends. It reports whether the
+// handshake succeeded.
+func (l *link) session(ctx context.Context) bool {
+	conn, err := l.dial(ctx)
+	if err != nil {
+		l.mesh.closed("dial", l.member.Host, err)
+		return false
+	}
+	defer func() { _ = conn.CloseNow() }()
+	// The peer sends nothing more on this connection; reading notices its end.
+	ended := conn.CloseRead(ctx)
+	l.setConnected(true)
+	defer l.setConnected(false)
+	for {
+		select {
+		case <-ended.Done():
+			return true
+		case <-l.wake:
+		}
+		if err := l.flush(ended, conn); err != nil {
+			l.mesh.closed("send", l.member.Host, err)
+			return true
+		}
+	}
+}
+
+func (l *link) dial(ctx context.Context) (*websocket.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout.Duration())
+	defer cancel()
+	//nolint:bodyclose // the library closes the body of the handshake response
+	conn, _, err := websocket.Dial(ctx, "ws://"+l.member.PeerAddress+Path, &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", l.member.PeerAddress, err)
+	}
+	other, err := l.mesh.handshake(ctx, conn)
+	if err == nil && (other.Host != l.member.Host || other.Incarnation != l.member.Incarnation) {
+		err = errOtherIncarnation
+	}
+	if err != nil {
+		_ = conn.CloseNow()
+		return nil, fmt.Errorf("handshake with %s: %w", l.member.PeerAddress, err)
+	}
+	return conn, nil
+}
+
+// flush sends the pending message.
+func (l *link) flush(ctx context.Context, conn *websocket.Conn) error {
+	e := l.take()
+	if e == nil {
+		return nil
+	}
+	e.SentMs = l.mesh.clock.Now()
+	e.EchoMs = l.mesh.echo(l.member.Host)
+	data, err := cbor.Marshal(e)
+	if err != nil {
+		return fmt.Errorf("encode: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	if err := conn.Write(ctx, websocket.MessageBinary, data); err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	scope := "region"
+	if l.member.Region != l.mesh.self.Region {
+		scope = "link"
+	}
+	l.mesh.metrics.PeerBytes.WithLabelValues(scope).Add(float64(len(data)))
+	return nil
+}
+
+// AddPool joins messages about a pool with those that are pending already.
+func AddPool(e *chivehillwire.Envelope, p chivehillwire.PoolMessages) {
+	for i := range e.Pools {
+		if e.Pools[i].Pool == p.Pool {
+			joinPool(&e.Pools[i], p)
+			return
+		}
+	}
+	if len(e.Pools) < maxPendingPools {
+		e.Pools = append(e.Pools, p)
+	}
+}
+
+func joinPool(to *chivehillwire.PoolMessages, p chivehillwire.PoolMessages) {
+	to.Load = p.Load
+	to.Asks = append(to.Asks, p.Asks...)
+	to.Grants = append(to.Grants, p.Grants...)
+	to.Denials = append(to.Denials, p.Denials...)
+	to.Releases = append(to.Releases, p.Releases...)
+	for _, w := range p.Withdrawals {
+		withdraw(to, w)
+	}
+}
+
+// withdraw drops the ask if it has not been sent, else adds the withdrawal.
+func withdraw(to *chivehillwire.PoolMessages, w chivehillwire.AskWithdrawal) {
+	for i, a := range to.Asks {
+		if a.Ask == w.Ask {
+			to.Asks = append(to.Asks[:i], to.Asks[i+1:]...)
+			return
+		}
+	}
+	to.Withdrawals = append(to.Withdrawals, w)
+}
+
+// Region returns a filter for Broadcast: the members of one region.
+func Region(region chivehillid.RegionID) func(chivehillwire.Member) bool {
+	return func(m chivehillwire.Member) bool { return m.Region == region }
+}
--- /dev/null
+++ b/internal/chivehillquery/query.go
@@ -0,0 +1,115 @@
+// Package chivehillquery holds the queries of the administration API: what
+// reads the state of the system.
+package chivehillquery
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillmetrics"
+	"github.com/chivehill/chivehill/internal/chivehillslot"
+	"github.com/chivehill/chivehill/internal/chivehillwire"
+)
+
+// Paths of the queries.
+const (
+	StatusPath        = "/v1/status"
+	ConfigurationPath = "/v1/configuration"
+)
+
+// HostStatus is what one host knows of another.
+type HostStatus struct {
+	Host          chivehillid.HostID   `json:"host"`
+	Region        chivehillid.RegionID `json:"region"`
+	FailureDomain chivehillid.DomainID `json:"failure-domain"`
+	CallerAddress string               `json:"caller-address"`
+	Reachable     bool                 `json:"reachable"`
+	Leaving       bool                 `json:"leaving"`
+	// Version is the newest version that the host is known to have in force.
+	Version     chivehillid.Version   `json:"version"`
+	Epoch       chivehillid.Epoch     `json:"epoch"`
+	ConfigAgeMs chivehillclock.Millis `json:"config-age-ms"`
+}
+
+// ServerStatus is the state of an owned server.
+type ServerStatus struct {
+	Pool     chivehillid.PoolID    `json:"pool"`
+	Server   chivehillid.ServerID  `json:"server"`
+	Owner    chivehillid.HostID    `json:"owner"`
+	State    string                `json:"state"`
+	Limit    chivehillid.Slots     `json:"limit"`
+	InFlight chivehillid.Slots     `json:"in-flight"`
+	TookMs   chivehillclock.Millis `json:"took-ms"`
+}
+
+// Status is the state of the system as one host sees it. Servers lists those
+// that this host owns.
+type Status struct {
+	Host       chivehillid.HostID        `json:"host"`
+	Version    chivehillid.Version       `json:"version"`
+	Epoch      chivehillid.Epoch         `json:"epoch"`
+	MayServe   bool                      `json:"may-serve"`
+	Leaving    bool                      `json:"leaving"`
+	Hosts      []HostStatus              `json:"hosts"`
+	Servers    []ServerStatus            `json:"servers"`
+	DomainsOut []chivehillwire.DomainOut `json:"domains-out"`
+}
+
+// Source is what the queries read.
+type Source interface {
+	Status() Status
+	Configuration() (chivehillwire.Configuration, bool)
+	Ready() bool
+}
+
+// Registrar adds further routes.
+type Registrar interface {
+	Register(*httprouter.Router)
+}
+
+// New returns the handler of the operators' address: the queries, and the
+// commands that commands registers.
+func New(s Source, m *chivehillmetrics.Metrics, commands Registrar) http.Handler {
+	r := httprouter.New()
+	r.GET(StatusPath, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { writeJSON(w, s.Status()) })
+	r.GET(ConfigurationPath, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		c, found := s.Configuration()
+		if !found {
+			http.Error(w, "no configuration in force", http.StatusServiceUnavailable)
+			return
+		}
+		writeJSON(w, c)
+	})
+	r.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { _, _ = w.Write([]byte("ok\n")) })
+	r.GET("/readyz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		if !s.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	r.Handler(http.MethodGet, "/metrics", promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{}))
+	commands.Register(r)
+	return r
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// PoolServers describes the servers of a pool for a status.
+func PoolServers(owner chivehillid.HostID, p chivehillslot.PoolStatus) []ServerStatus {
+	servers := make([]ServerStatus, 0, len(p.Servers))
+	for _, s := range p.Servers {
+		servers = append(servers, ServerStatus{
+			Pool: p.Pool, Server: s.Server, Owner: owner, State: s.State, Limit: s.Limit, InFlight: s.InFlight, TookMs: s.Took,
+		})
+	}
+	return servers
+}
--- a/internal/chivehillwire/wire.go
+++ b/internal/chivehillwire/wire.go
@@ -49,6 +49,9 @@
 	// Whether a planned stop is under way.
 	Leaving bool `json:"leaving,omitempty"`
 
+	// Age of the newest read of the membership, in milliseconds.
+	MembershipAgeMs chivehillclock.Millis `json:"membership-age-ms"`
+
 	// Whether the sender reached the store within its lease time.
 	StoreReachable bool `json:"store-reachable"`
 
@@ -468,6 +471,12 @@
 	// Requests allowed at the same time.
 	Limit int `json:"limit"`
 
+	// Pool of the server.
+	Pool chivehillid.PoolID `json:"pool"`
+
+	// Whether the sender no longer owns the server and holds no lent slot of it.
+	Released bool `json:"released,omitempty"`
+
 	// The server.
 	Server chivehillid.ServerID `json:"server"`
 }
