--- a/cmd/chivehill-standin/main.go
+++ b/cmd/chivehill-standin/main.go
@@ -91,7 +91,8 @@
 func (c *linkCmd) Run() error {
 	l := chivehillstandin.NewLink(c.Target)
 	l.Set(chivehillstandin.LinkFaults{DelayMs: c.DelayMs})
-	listener, err := net.Listen("tcp", c.Address)
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", c.Address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", c.Address, err)
 	}
--- a/cmd/chivehill/note.go
+++ b/cmd/chivehill/note.go
@@ -29,26 +29,27 @@
 
 // Run implements the command.
 func (c *noteCheckCmd) Run() error {
-	if _, _, err := readNote(c.File); err != nil {
+	if _, err := readNote(c.File); err != nil {
 		return err
 	}
 	fmt.Println("note is valid")
 	return nil
 }
 
-func readNote(path string) (chivehillwire.Note, []byte, error) {
+// readNote reads a note and checks it.
+func readNote(path string) ([]byte, error) {
 	var note chivehillwire.Note
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return note, nil, fmt.Errorf("read note: %w", err)
+		return nil, fmt.Errorf("read note: %w", err)
 	}
 	if err := chivehillsettings.DecodeStrict(data, &note); err != nil {
-		return note, nil, usageError{fmt.Errorf("note %s: %w", path, err)}
+		return nil, usageError{fmt.Errorf("note %s: %w", path, err)}
 	}
 	if err := chivehillnote.CheckNote(note); err != nil {
-		return note, nil, usageError{fmt.Errorf("note %s: %w", path, err)}
+		return nil, usageError{fmt.Errorf("note %s: %w", path, err)}
 	}
-	return note, data, nil
+	return data, nil
 }
 
 // noteApplyCmd applies a note. Applying it again is safe.
@@ -60,7 +61,7 @@
 
 // Run implements the command.
 func (c *noteApplyCmd) Run() error {
-	_, data, err := readNote(c.File)
+	data, err := readNote(c.File)
 	if err != nil {
 		return err
 	}
--- a/internal/chivehillbalance/asker.go
+++ b/internal/chivehillbalance/asker.go
@@ -11,8 +11,13 @@
 	"github.com/chivehill/chivehill/internal/chivehillwire"
 )
 
-// maxAsks bounds the owners that one request asks before it is refused.
-const maxAsks = 4
+const (
+	// maxAsks bounds the owners that one request asks before it is refused.
+	maxAsks = 4
+	// patience is the time for which a request waits at one owner before it
+	// asks others.
+	patience = 2 * chivehillclock.Millisecond
+)
 
 // peerView is what this host knows of a peer's servers.
 type peerView struct {
@@ -20,9 +25,18 @@
 	load chivehillwire.Load
 }
 
+// wait returns the expected wait of a new request at the peer.
+func (v *peerView) wait() chivehillclock.Millis {
+	if v.load.Idle > 0 {
+		return 0
+	}
+	return v.load.WaitMs
+}
+
 // waiter is a request of this host that has no slot yet.
 type waiter struct {
 	request Request
+	since   chivehillclock.Millis
 	// asked holds every owner asked so far; the value is true while the ask is open.
 	asked map[chivehillid.HostID]bool
 	// lastReason is the reason of the newest denial.
@@ -39,11 +53,10 @@
 	return n
 }
 
-// submit finds a slot for a request: an idle one of an own server, else an
-// idle one of a peer, else a place in the queues of the owners with the
-// shortest expected wait.
+// submit finds a slot for a request: a free one of an own server, else the
+// owner with the shortest expected wait, idle peers included.
 func (p *Pool) submit(now chivehillclock.Millis, r Request) {
-	w := &waiter{request: r, asked: make(map[chivehillid.HostID]bool, p.config.Fanout), lastReason: chivehillreason.NoServer}
+	w := &waiter{request: r, since: now, asked: make(map[chivehillid.HostID]bool, p.config.Fanout), lastReason: chivehillreason.NoServer}
 	p.waiters[r.ID] = w
 	if now >= r.Deadline {
 		p.refuse(r.ID, chivehillreason.DeadlinePassed)
@@ -52,15 +65,7 @@
 	if p.takeIdle(now, w) {
 		return
 	}
-	if peer := p.idlePeer(w); peer != nil {
-		p.ask(now, w, peer.peer.Host)
-		return
-	}
-	if r.NoQueue {
-		p.refuse(r.ID, chivehillreason.NoIdleSlot)
-		return
-	}
-	p.wait(now, w)
+	p.wait(now, w, 1)
 }
 
 // takeIdle uses an idle slot of an own server if no other request waits for it.
@@ -68,7 +73,11 @@
 	if !w.request.Regions.Allows(p.config.Region) || p.queue.len() > 0 {
 		return false
 	}
-	s := p.pick(now, w.request.Exclude, false)
+	slack := p.config.LocalSlack
+	if w.request.WaitUntil < w.request.Deadline {
+		slack = 0
+	}
+	s := p.pick(now, w.request.Exclude, slack)
 	if s == nil {
 		return false
 	}
@@ -79,7 +88,7 @@
 func (p *Pool) entryOf(w *waiter) *entry {
 	return &entry{
 		key:      askKey{from: p.config.Self, ask: chivehillid.AskID(w.request.ID)},
-		deadline: w.request.Deadline, tenant: w.request.Tenant, exclude: w.request.Exclude,
+		deadline: w.request.WaitUntil, runUntil: w.request.Deadline, tenant: w.request.Tenant, exclude: w.request.Exclude,
 	}
 }
 
@@ -94,22 +103,6 @@
 	return v.peer.Region == p.config.Region || w.request.LinkOpen
 }
 
-// idlePeer returns the nearest eligible peer of this region with an idle slot.
-func (p *Pool) idlePeer(w *waiter) *peerView {
-	var best *peerView
-	for _, h := range p.peerOrder {
-		v := p.peers[h]
-		if v.load.Idle <= 0 || v.peer.Region != p.config.Region || !p.eligible(w, v) {
-			continue
-		}
-		if best == nil || v.peer.RoundTrip < best.peer.RoundTrip ||
-			(v.peer.RoundTrip == best.peer.RoundTrip && v.load.Idle > best.load.Idle) {
-			best = v
-		}
-	}
-	return best
-}
-
 // candidate is an owner at which a request can wait. The host itself is one.
 type candidate struct {
 	host chivehillid.HostID
@@ -126,20 +119,21 @@
 	for _, h := range p.peerOrder {
 		v := p.peers[h]
 		if p.eligible(w, v) {
-			found = append(found, candidate{host: h, cost: v.load.WaitMs + v.peer.RoundTrip})
+			found = append(found, candidate{host: h, cost: v.wait() + v.peer.RoundTrip})
 		}
 	}
 	slices.SortStableFunc(found, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
 	return found
 }
 
-// wait asks the best owners for a place in their queues.
-func (p *Pool) wait(now chivehillclock.Millis, w *waiter) {
+// wait asks the best owners for a place in their queues, until the request
+// waits at most owners.
+func (p *Pool) wait(now chivehillclock.Millis, w *waiter, most int) {
 	for _, c := range p.candidates(now, w) {
 		if _, waiting := p.waiters[w.request.ID]; !waiting {
 			return
 		}
-		if w.open() >= p.config.Fanout || len(w.asked) >= maxAsks {
+		if w.open() >= most || len(w.asked) >= maxAsks {
 			break
 		}
 		p.ask(now, w, c.host)
@@ -149,6 +143,19 @@
 	}
 }
 
+// widen lets requests that have waited for a while wait at more owners.
+func (p *Pool) widen(now chivehillclock.Millis) {
+	if p.config.Fanout < 2 {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.waiters)) {
+		w := p.waiters[id]
+		if w != nil && now-w.since >= patience && w.open() < p.config.Fanout {
+			p.wait(now, w, p.config.Fanout)
+		}
+	}
+}
+
 // ask asks one owner, this host included.
 func (p *Pool) ask(now chivehillclock.Millis, w *waiter, owner chivehillid.HostID) {
 	w.asked[owner] = true
@@ -164,7 +171,7 @@
 	v.load.Queued++
 	p.out.to(owner).Asks = append(p.out.to(owner).Asks, chivehillwire.Ask{
 		Ask: chivehillid.AskID(w.request.ID), LeftMs: w.request.Deadline - now, Tenant: w.request.Tenant,
-		Exclude: w.request.Exclude, Queue: !w.request.NoQueue,
+		Exclude: w.request.Exclude, WaitMs: max(0, w.request.WaitUntil-now),
 	})
 }
 
@@ -222,20 +229,12 @@
 	if w.open() > 0 {
 		return
 	}
-	if peer := p.idlePeer(w); peer != nil && len(w.asked) < maxAsks {
-		p.ask(now, w, peer.peer.Host)
-		return
-	}
-	if w.request.NoQueue {
-		p.refuse(id, reason)
-		return
-	}
-	p.wait(now, w)
+	p.wait(now, w, 1)
 }
 
 func (p *Pool) expireWaiters(now chivehillclock.Millis) {
 	for _, id := range slices.Sorted(maps.Keys(p.waiters)) {
-		if now >= p.waiters[id].request.Deadline {
+		if now >= p.waiters[id].request.WaitUntil {
 			p.refuse(id, chivehillreason.DeadlinePassed)
 		}
 	}
@@ -299,7 +298,7 @@
 		if v.load.Idle <= 0 {
 			return
 		}
-		if v.peer.Region == p.config.Region && p.eligible(w, v) && len(w.asked) < maxAsks {
+		if now-w.since >= patience && v.peer.Region == p.config.Region && p.eligible(w, v) && len(w.asked) < maxAsks {
 			p.ask(now, w, v.peer.Host)
 		}
 	}
--- a/internal/chivehillbalance/owner.go
+++ b/internal/chivehillbalance/owner.go
@@ -15,6 +15,9 @@
 // lent when its holder is never heard of again.
 const loanFactor = 2
 
+// leastShare of the typical time must be left for a request to be started.
+const leastShare = 0.5
+
 // loan is a slot that is lent.
 type loan struct {
 	server chivehillid.ServerID
@@ -35,7 +38,7 @@
 	s.inFlight++
 	p.nextGrant++
 	grant := p.nextGrant
-	p.loans[grant] = &loan{server: s.id, to: e.key.from, expires: now + loanFactor*max(0, e.deadline-now)}
+	p.loans[grant] = &loan{server: s.id, to: e.key.from, expires: now + loanFactor*max(0, e.runUntil-now)}
 	valid := p.config.GrantValid
 	if cold && p.config.ColdUnconfirmed == 0 {
 		chivehillinvariant.Assert(now < p.confirmedUntil && now >= s.confirmedFrom, chivehillinvariant.ConfirmedOwner,
@@ -88,7 +91,7 @@
 			continue
 		}
 		delete(p.loans, g)
-		p.settleServer(now, l.server, Finish{Result: Silent})
+		p.settleServer(now, l.server, Finish{Result: Silent, Took: chivehillclock.Minute})
 	}
 }
 
@@ -101,12 +104,12 @@
 // pumpOne serves one entry and reports whether it could.
 func (p *Pool) pumpOne(now chivehillclock.Millis) bool {
 	for _, e := range p.queue.order() {
-		if !p.inTime(now, e.deadline) {
+		if !p.inTime(now, e) {
 			p.queue.remove(e.key)
 			p.deny(now, e.key, chivehillreason.DeadlinePassed)
 			return true
 		}
-		s := p.pick(now, e.exclude, true)
+		s := p.pick(now, e.exclude, p.config.Slack)
 		if s == nil {
 			continue
 		}
@@ -117,9 +120,9 @@
 	return false
 }
 
-// inTime reports whether a request that starts now can end by the deadline.
-func (p *Pool) inTime(now, deadline chivehillclock.Millis) bool {
-	return now < deadline
+// inTime reports whether an entry may still wait and can end in time.
+func (p *Pool) inTime(now chivehillclock.Millis, e *entry) bool {
+	return now < e.deadline && now+chivehillclock.Millis(leastShare*p.typical) < e.runUntil
 }
 
 // enqueue lets an entry wait here, or returns why it cannot.
@@ -156,7 +159,7 @@
 	}
 	ahead := p.queue.tenantLen(e.tenant) * max(1, share)
 	wait := p.expectedWait(max(1, limit), ahead)
-	return now+wait+chivehillclock.Millis(p.typical) <= e.deadline
+	return now+wait <= e.deadline && now+wait+chivehillclock.Millis(p.typical) <= e.runUntil
 }
 
 // deny tells the sender of an ask that it gets no slot here.
@@ -177,14 +180,17 @@
 
 // asked handles an ask of a peer.
 func (p *Pool) asked(now chivehillclock.Millis, from chivehillid.HostID, a chivehillwire.Ask) {
-	e := &entry{key: askKey{from: from, ask: a.Ask}, deadline: now + a.LeftMs, tenant: a.Tenant, exclude: a.Exclude}
+	e := &entry{
+		key: askKey{from: from, ask: a.Ask}, deadline: now + a.WaitMs, runUntil: now + a.LeftMs,
+		tenant: a.Tenant, exclude: a.Exclude,
+	}
 	if p.queue.len() == 0 {
-		if s := p.pick(now, e.exclude, false); s != nil {
+		if s := p.pick(now, e.exclude, 0); s != nil {
 			p.lend(now, s, e)
 			return
 		}
 	}
-	if !a.Queue {
+	if a.WaitMs <= 0 {
 		p.deny(now, e.key, chivehillreason.NoIdleSlot)
 		return
 	}
--- a/internal/chivehillbalance/pool.go
+++ b/internal/chivehillbalance/pool.go
@@ -180,6 +180,7 @@
 		p.deny(now, e.key, chivehillreason.DeadlinePassed)
 	}
 	p.pump(now)
+	p.widen(now)
 	p.advertise(now)
 }
 
@@ -259,28 +260,13 @@
 	return len(p.waiters)
 }
 
-// pick returns the owned server that is best for an entry, or nil. Servers
-// with idle slots go first; slack is used only when withSlack is set.
-func (p *Pool) pick(now chivehillclock.Millis, exclude []chivehillid.ServerID, withSlack bool) *server {
+// pick returns the owned server that is best for an entry, or nil. A warm
+// server may hold slack requests beyond its slots; idle slots go first.
+func (p *Pool) pick(now chivehillclock.Millis, exclude []chivehillid.ServerID, slack chivehillid.Slots) *server {
 	var best *server
 	for _, id := range p.order {
 		s := p.servers[id]
-		if slices.Contains(exclude, id) {
-			continue
-		}
-		if s.inFlight >= s.allowed(now, p.confirmedUntil, p.config) {
-			continue
-		}
-		if best == nil || better(s, best) {
-			best = s
-		}
-	}
-	if best != nil || !withSlack {
-		return best
-	}
-	for _, id := range p.order {
-		s := p.servers[id]
-		if slices.Contains(exclude, id) || s.inFlight >= s.allowedWithSlack(now, p.confirmedUntil, p.config) {
+		if slices.Contains(exclude, id) || s.inFlight >= s.allowedWithSlack(now, p.confirmedUntil, slack, p.config) {
 			continue
 		}
 		if best == nil || better(s, best) {
--- a/internal/chivehillbalance/queue.go
+++ b/internal/chivehillbalance/queue.go
@@ -17,8 +17,11 @@
 
 // entry is one ask that waits for a slot.
 type entry struct {
-	key      askKey
+	key askKey
+	// deadline is the time until which the ask may wait.
 	deadline chivehillclock.Millis
+	// runUntil is the deadline of the request. It is not before deadline.
+	runUntil chivehillclock.Millis
 	tenant   chivehillid.TenantID
 	exclude  []chivehillid.ServerID
 }
@@ -92,11 +95,11 @@
 	q.byKey[e.key] = e
 }
 
-// remove takes an entry out and reports whether it was there.
-func (q *waitQueue) remove(key askKey) bool {
+// remove takes an entry out if it is there.
+func (q *waitQueue) remove(key askKey) {
 	e := q.byKey[key]
 	if e == nil {
-		return false
+		return
 	}
 	delete(q.byKey, key)
 	class := q.class(e.tenant)
@@ -105,7 +108,6 @@
 	if len(t.entries) == 0 {
 		delete(q.tenants, class)
 	}
-	return true
 }
 
 // order returns the head of each tenant's queue, the tenant served least first.
--- a/internal/chivehillbalance/server.go
+++ b/internal/chivehillbalance/server.go
@@ -7,12 +7,13 @@
 )
 
 const (
-	// averageWeight is the weight of a new sample in a moving average.
-	averageWeight = 0.1
+	// averageWeight is the weight of a new sample in a moving average. It spans
+	// more requests than a slow spell of milliseconds delays.
+	averageWeight = 0.02
 	// slowFactor times the pool's typical time marks a server as a straggler.
 	slowFactor = 3.0
 	// minSamples is the number of responses before a server is compared with others.
-	minSamples = 10
+	minSamples = 50
 	// failuresToSuspend is the number of failed answers in a row that suspend a server.
 	failuresToSuspend = 3
 
@@ -77,10 +78,10 @@
 }
 
 // allowedWithSlack adds the slack that a warm server may hold beyond its slots.
-func (s *server) allowedWithSlack(now, confirmedUntil chivehillclock.Millis, c Config) chivehillid.Slots {
+func (s *server) allowedWithSlack(now, confirmedUntil chivehillclock.Millis, slack chivehillid.Slots, c Config) chivehillid.Slots {
 	n := s.allowed(now, confirmedUntil, c)
 	if s.warm && n == s.slots {
-		return n + c.Slack
+		return n + slack
 	}
 	return n
 }
@@ -121,7 +122,10 @@
 	case Shed:
 		s.coolDown(c)
 	case Silent:
-		s.coolDown(c)
+		// A request that started late says nothing of the server.
+		if float64(f.Took) > slowFactor*typical {
+			s.coolDown(c)
+		}
 	case Drains:
 		s.draining = true
 	case Unused, Cancelled:
--- a/internal/chivehillbalance/types.go
+++ b/internal/chivehillbalance/types.go
@@ -30,8 +30,8 @@
 	Regions  chivehillregion.Set
 	// Exclude lists servers that must not be used.
 	Exclude []chivehillid.ServerID
-	// NoQueue refuses the request at once when no slot is idle.
-	NoQueue bool
+	// WaitUntil is the time until which the request may wait for a slot. It is at most Deadline.
+	WaitUntil chivehillclock.Millis
 	// LinkOpen allows servers of other regions.
 	LinkOpen bool
 }
@@ -199,6 +199,8 @@
 	RampSuccesses int
 	// Slack is the number of requests beyond its slots that a warm server is sent while others wait.
 	Slack chivehillid.Slots
+	// LocalSlack is the part of the slack that a request of this host uses before it asks peers with idle slots.
+	LocalSlack chivehillid.Slots
 	// Fanout is the number of owners at which a request waits at the same time. It is at least 1.
 	Fanout int
 	// GrantValid is the time within which a granted slot must be used.
@@ -220,7 +222,8 @@
 const (
 	DefaultColdConcurrency chivehillid.Slots     = 1
 	DefaultRampSuccesses                         = 8
-	DefaultSlack           chivehillid.Slots     = 1
+	DefaultSlack           chivehillid.Slots     = 2
+	DefaultLocalSlack      chivehillid.Slots     = 2
 	DefaultFanout                                = 2
 	DefaultGrantValid      chivehillclock.Millis = 100
 )
--- a/internal/chivehilldispatch/dispatch.go
+++ b/internal/chivehilldispatch/dispatch.go
@@ -211,13 +211,20 @@
 	return a
 }
 
-// Probe sends a health check and discards the body of its answer.
-func (d *Dispatcher) Probe(req *http.Request) (*http.Response, error) {
+// Health is the answer to a health check.
+type Health struct {
+	Status int
+	// State is the server's report of itself.
+	State string
+}
+
+// Probe sends a health check.
+func (d *Dispatcher) Probe(req *http.Request) (Health, error) {
 	resp, err := d.transport.RoundTrip(req)
 	if err != nil {
-		return nil, fmt.Errorf("probe %s: %w", req.URL.Host, err)
+		return Health{}, fmt.Errorf("probe %s: %w", req.URL.Host, err)
 	}
+	defer func() { _ = resp.Body.Close() }()
 	_, _ = io.CopyN(io.Discard, resp.Body, discardBytes)
-	_ = resp.Body.Close()
-	return resp, nil
+	return Health{Status: resp.StatusCode, State: resp.Header.Get(chivehillheader.ServerState)}, nil
 }
--- a/internal/chivehillentry/entry.go
+++ b/internal/chivehillentry/entry.go
@@ -133,7 +133,7 @@
 	c := &call{id: requestID(r), arrived: e.Clock.Now(), tenant: chivehillid.TenantID(r.Header.Get(chivehillheader.Tenant))}
 	w.Header().Set(chivehillheader.RequestID, c.id)
 	key, keyErr := e.key(r)
-	early := e.earlyOutcome(key, keyErr)
+	early := earlyOutcome(keyErr)
 	view := e.Cluster.View()
 	if view == nil {
 		e.refuse(w, c, chivehillreason.Refusal{Outcome: early, Reason: chivehillreason.ConfigMissing})
--- a/internal/chivehillentry/flight.go
+++ b/internal/chivehillentry/flight.go
@@ -20,10 +20,14 @@
 const maxAttempts = 4
 
 // acquire waits for a slot that may be used for the call.
-func (e *Entry) acquire(ctx context.Context, c *call, exclude []chivehillid.ServerID, queue bool) (*chivehillslot.Slot, error) {
+func (e *Entry) acquire(ctx context.Context, c *call, exclude []chivehillid.ServerID, hedge bool) (*chivehillslot.Slot, error) {
+	until := c.deadline
+	if hedge {
+		until = min(until, e.Clock.Now()+chivehillhedge.MaxWait)
+	}
 	slot, err := e.Slots.Acquire(ctx, c.route.Pool, chivehillbalance.Request{
 		Deadline: c.deadline, Tenant: c.tenant, Regions: c.regions, Exclude: exclude,
-		NoQueue: !queue, LinkOpen: e.link.Open(e.Clock.Now()),
+		WaitUntil: until, LinkOpen: !hedge && e.link.Open(e.Clock.Now()),
 	})
 	if err == nil {
 		return slot, nil
--- a/internal/chivehillentry/idempotent.go
+++ b/internal/chivehillentry/idempotent.go
@@ -61,7 +61,7 @@
 	e, c := r.entry, r.call
 	e.hedges.Earn()
 	e.retries.Earn()
-	slot, err := e.acquire(r.ctx, c, nil, true)
+	slot, err := e.acquire(r.ctx, c, nil, false)
 	if err != nil {
 		return nil, asRefusal(err)
 	}
@@ -152,7 +152,7 @@
 	e := r.entry
 	for len(r.used) < maxAttempts && e.retries.Take() {
 		e.Metrics.Retries.WithLabelValues(string(last.Reason)).Inc()
-		slot, err := e.acquire(r.ctx, r.call, r.used, true)
+		slot, err := e.acquire(r.ctx, r.call, r.used, false)
 		if err != nil {
 			return r.refusal(asRefusal(err).Reason), false
 		}
@@ -179,7 +179,7 @@
 		e.Metrics.Hedges.WithLabelValues("no-budget").Inc()
 		return
 	}
-	slot, err := e.acquire(r.ctx, r.call, r.used, false)
+	slot, err := e.acquire(r.ctx, r.call, r.used, true)
 	if err != nil {
 		e.Metrics.Hedges.WithLabelValues("no-slot").Inc()
 		return
--- a/internal/chivehillentry/keyed.go
+++ b/internal/chivehillentry/keyed.go
@@ -29,7 +29,7 @@
 
 // earlyOutcome returns the outcome of a refusal before the key was presented:
 // a request with a valid key may have been sent before, and may have run.
-func (e *Entry) earlyOutcome(key chivehillkey.Key, keyErr error) chivehillreason.Outcome {
+func earlyOutcome(keyErr error) chivehillreason.Outcome {
 	if keyErr != nil {
 		return chivehillreason.NotRun
 	}
@@ -131,7 +131,7 @@
 			}
 			e.Metrics.Retries.WithLabelValues(string(last.Reason)).Inc()
 		}
-		slot, err := e.acquire(ctx, c, used, true)
+		slot, err := e.acquire(ctx, c, used, false)
 		if err != nil {
 			return refused(asRefusal(err))
 		}
--- a/internal/chivehillnode/hosts.go
+++ b/internal/chivehillnode/hosts.go
@@ -11,8 +11,6 @@
 	"github.com/chivehill/chivehill/internal/chivehillconfig"
 	"github.com/chivehill/chivehill/internal/chivehillentry"
 	"github.com/chivehill/chivehill/internal/chivehillid"
-	"github.com/chivehill/chivehill/internal/chivehillmember"
-	"github.com/chivehill/chivehill/internal/chivehillowner"
 	"github.com/chivehill/chivehill/internal/chivehillregion"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
 )
@@ -66,7 +64,7 @@
 	if !found {
 		return slots
 	}
-	owners := chivehillowner.Assign(pool, chivehillmember.Owners(n.state.Membership()), n.ownable(p))
+	owners := n.plan.Owners(p, n.state.Membership())
 	for _, s := range p.Servers {
 		if !view.DomainOut(s.FailureDomain) {
 			slots[owners[s.Server]] += int(s.Slots)
--- a/internal/chivehillnode/node.go
+++ b/internal/chivehillnode/node.go
@@ -28,8 +28,8 @@
 	"github.com/chivehill/chivehill/internal/chivehillkey"
 	"github.com/chivehill/chivehill/internal/chivehillmember"
 	"github.com/chivehill/chivehill/internal/chivehillmetrics"
-	"github.com/chivehill/chivehill/internal/chivehillowner"
 	"github.com/chivehill/chivehill/internal/chivehillpeer"
+	"github.com/chivehill/chivehill/internal/chivehillplan"
 	"github.com/chivehill/chivehill/internal/chivehillquery"
 	"github.com/chivehill/chivehill/internal/chivehillslot"
 	"github.com/chivehill/chivehill/internal/chivehillstate"
@@ -71,20 +71,18 @@
 	// reconfigure is signalled after each change of configuration, membership or reachability.
 	reconfigure chan struct{}
 
-	mu      sync.Mutex
-	tracker *chivehillowner.Tracker
+	// plan is changed under mu. Its topology is constant.
+	plan *chivehillplan.Plan
+
+	mu sync.Mutex
 	// beats holds the newest beat of each peer.
 	beats map[chivehillid.HostID]peerBeat
-	// known holds what previous owners reported of their servers.
-	known map[chivehillid.ServerID]knownServer
 	// successors maps the incarnation of a host that left to its successor.
 	successors map[chivehillid.Incarnation]chivehillid.HostID
 	// taken is closed when the successor of this host has the whole key table.
 	taken chan struct{}
 	// seeds are members from the host list, used while no membership is known.
 	seeds []chivehillwire.Member
-	// reported holds the server states that peers were last told.
-	reported map[chivehillid.ServerID]chivehillwire.ServerState
 
 	tasks  conc.WaitGroup
 	cancel context.CancelFunc
@@ -110,10 +108,10 @@
 		adopted: chivehillkey.NewAdopted(), suspects: chivehillsuspect.New(), dispatch: chivehilldispatch.New(clock),
 		probes:      chivehillbudget.NewBucket(s.Limits.ProbeRequestsPerSecond, max(1, s.Limits.ProbeRequestsPerSecond)),
 		reconfigure: make(chan struct{}, 1), taken: make(chan struct{}),
-		beats: make(map[chivehillid.HostID]peerBeat), known: make(map[chivehillid.ServerID]knownServer),
+		beats:      make(map[chivehillid.HostID]peerBeat),
 		successors: make(map[chivehillid.Incarnation]chivehillid.HostID),
-		reported:   make(map[chivehillid.ServerID]chivehillwire.ServerState),
 	}
+	n.plan = chivehillplan.New(n.self.Host, s.Topology, clock.Now(), s.Limits.MembershipLeaseMs)
 	chivehillinvariant.SetHandler(n.violation)
 	n.state = chivehillstate.New(n.signal)
 	n.table = chivehillkey.NewTable(n.self.Host, n.self.Incarnation, chivehillkey.Limits{
@@ -199,9 +197,10 @@
 }
 
 func listen(addresses ...string) ([]net.Listener, error) {
+	var config net.ListenConfig
 	var listeners []net.Listener
 	for _, a := range addresses {
-		l, err := net.Listen("tcp", a)
+		l, err := config.Listen(context.Background(), "tcp", a)
 		if err != nil {
 			for _, open := range listeners {
 				_ = open.Close()
@@ -227,9 +226,6 @@
 
 // startTasks starts what runs beside the servers.
 func (n *Node) startTasks(ctx context.Context) {
-	n.mu.Lock()
-	n.tracker = chivehillowner.NewTracker(n.clock.Now(), n.settings.Limits.MembershipLeaseMs)
-	n.mu.Unlock()
 	n.tasks.Go(func() { n.sync.FollowConfiguration(ctx) })
 	n.tasks.Go(func() { n.sync.FollowMembership(ctx) })
 	n.tasks.Go(func() { n.keepJoined(ctx) })
--- a/internal/chivehillnode/ownership.go
+++ b/internal/chivehillnode/ownership.go
@@ -9,8 +9,6 @@
 	"github.com/chivehill/chivehill/internal/chivehillconfig"
 	"github.com/chivehill/chivehill/internal/chivehillid"
 	"github.com/chivehill/chivehill/internal/chivehillmember"
-	"github.com/chivehill/chivehill/internal/chivehillnote"
-	"github.com/chivehill/chivehill/internal/chivehillowner"
 	"github.com/chivehill/chivehill/internal/chivehillpeer"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
 )
@@ -21,16 +19,8 @@
 	roundTripDomain chivehillclock.Millis = 0.3
 	roundTripRegion chivehillclock.Millis = 2
 	roundTripLink   chivehillclock.Millis = 24
-	// knownFor is the time for which a reported server state counts.
-	knownFor = 10 * chivehillclock.Second
 )
 
-// knownServer is what a previous owner reported of a server.
-type knownServer struct {
-	state chivehillwire.ServerState
-	at    chivehillclock.Millis
-}
-
 // reconfigureLoop applies changes of configuration, membership and reachability.
 func (n *Node) reconfigureLoop(ctx context.Context) {
 	for {
@@ -56,10 +46,10 @@
 	n.slots.Ensure(n.poolConfigs(view))
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	hosts := chivehillmember.Owners(membership)
 	peers := n.poolPeers()
+	learned := n.state.Freshness().EpochLearnedAt
 	for _, p := range view.Configuration.Pools {
-		owned := n.ownedServers(view, p.Spec, hosts)
+		owned := n.plan.Owned(n.clock.Now(), learned, view, p.Spec, membership)
 		n.slots.Handle(p.Spec.Pool, chivehillbalance.SetPeers{Peers: peers})
 		n.slots.Handle(p.Spec.Pool, chivehillbalance.SetOwned{Servers: owned})
 	}
@@ -86,7 +76,7 @@
 			ColdConcurrency: chivehillid.Slots(max(int(chivehillbalance.DefaultColdConcurrency), p.Spec.ColdConcurrency)),
 			ColdUnconfirmed: chivehillid.Slots(p.Spec.ColdConcurrencyUnconfirmed),
 			RampSuccesses:   orDefault(p.Spec.RampSuccesses, chivehillbalance.DefaultRampSuccesses),
-			Slack:           chivehillbalance.DefaultSlack, Fanout: chivehillbalance.DefaultFanout,
+			Slack:           chivehillbalance.DefaultSlack, LocalSlack: chivehillbalance.DefaultLocalSlack, Fanout: chivehillbalance.DefaultFanout,
 			GrantValid: chivehillbalance.DefaultGrantValid,
 		})
 	}
@@ -119,42 +109,9 @@
 	return roundTripLink
 }
 
-// ownedServers returns the servers of a pool that this host owns. The caller
-// holds n.mu.
-func (n *Node) ownedServers(view *chivehillconfig.View, p chivehillwire.PoolSpec, hosts []chivehillowner.Host) []chivehillbalance.Owned {
-	servers := n.ownable(p)
-	owners := chivehillowner.Assign(p.Pool, hosts, servers)
-	wait := n.settings.Limits.MembershipLeaseMs + chivehillclock.Millis(view.LongestDeadline(p.Pool))
-	n.tracker.Update(n.state.Freshness().EpochLearnedAt, wait, owners)
-	var owned []chivehillbalance.Owned
-	for _, s := range p.Servers {
-		if owners[s.Server] != n.self.Host {
-			continue
-		}
-		o := chivehillbalance.Owned{
-			Server: s.Server, Slots: s.Slots, Out: view.DomainOut(s.FailureDomain), ConfirmedFrom: n.tracker.ConfirmedFrom(s.Server),
-		}
-		if k, found := n.known[s.Server]; found && n.clock.Now()-k.at < knownFor {
-			o.KnownLimit = chivehillid.Slots(k.state.Limit)
-			o.KnownDraining = k.state.Draining
-		}
-		owned = append(owned, o)
-	}
-	return owned
-}
-
-func (n *Node) ownable(p chivehillwire.PoolSpec) []chivehillowner.Server {
-	servers := make([]chivehillowner.Server, 0, len(p.Servers))
-	for _, s := range p.Servers {
-		servers = append(servers, chivehillowner.Server{Server: s.Server, Region: n.RegionOf(s.FailureDomain), Domain: s.FailureDomain})
-	}
-	return servers
-}
-
 // RegionOf returns the region of a failure domain.
 func (n *Node) RegionOf(d chivehillid.DomainID) chivehillid.RegionID {
-	region, _ := chivehillnote.RegionOf(n.settings.Topology, d)
-	return region
+	return n.plan.RegionOf(d)
 }
 
 // confirm tells the pools until when the ownership of this host is confirmed.
@@ -177,19 +134,10 @@
 // takeServerState records what another owner reports of a server.
 func (n *Node) takeServerState(from chivehillid.HostID, s chivehillwire.ServerState) {
 	n.mu.Lock()
-	n.known[s.Server] = knownServer{state: s, at: n.clock.Now()}
-	if !s.Released {
-		n.mu.Unlock()
-		return
-	}
-	n.tracker.Released(s.Server, from)
-	owned := n.tracker.Owner(s.Server) == n.self.Host
-	confirmedFrom := n.tracker.ConfirmedFrom(s.Server)
+	event, undisputed := n.plan.TakeState(n.clock.Now(), from, s)
 	n.mu.Unlock()
-	if owned {
-		n.slots.Handle(s.Pool, chivehillbalance.Undisputed{
-			Server: s.Server, From: confirmedFrom, KnownLimit: chivehillid.Slots(s.Limit),
-		})
+	if undisputed {
+		n.slots.Handle(s.Pool, event)
 	}
 }
 
@@ -214,19 +162,11 @@
 	})
 }
 
-// report records a state that is about to be told and reports whether it is
-// news, or old enough to be told again.
+// report reports whether peers should be told a state.
 func (n *Node) report(s chivehillwire.ServerState) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := n.clock.Now()
-	old, found := n.reported[s.Server]
-	if found && old == s && now-n.known[s.Server].at < knownFor/2 {
-		return false
-	}
-	n.reported[s.Server] = s
-	n.known[s.Server] = knownServer{state: s, at: now}
-	return true
+	return n.plan.Tell(n.clock.Now(), s)
 }
 
 const (
--- a/internal/chivehillnode/peers.go
+++ b/internal/chivehillnode/peers.go
@@ -9,6 +9,7 @@
 	"github.com/chivehill/chivehill/internal/chivehillid"
 	"github.com/chivehill/chivehill/internal/chivehillmember"
 	"github.com/chivehill/chivehill/internal/chivehillpeer"
+	"github.com/chivehill/chivehill/internal/chivehillplan"
 	"github.com/chivehill/chivehill/internal/chivehillregion"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
 )
@@ -163,7 +164,8 @@
 	if n.state.View() == nil {
 		return false
 	}
-	if n.clock.Now()-n.state.Freshness().ConfigConfirmedAt < n.settings.Limits.ConfigGraceMs {
+	now, confirmedAt := n.clock.Now(), n.state.Freshness().ConfigConfirmedAt
+	if now-confirmedAt < n.settings.Limits.ConfigGraceMs {
 		return true
 	}
 	size, reachable := 1, 1
@@ -177,7 +179,7 @@
 			reachable++
 		}
 	}
-	return 2*reachable > size
+	return chivehillplan.MayServe(now, confirmedAt, n.settings.Limits.ConfigGraceMs, size, reachable)
 }
 
 // Leaving reports whether a planned stop is under way.
--- a/internal/chivehillnode/probe.go
+++ b/internal/chivehillnode/probe.go
@@ -45,15 +45,14 @@
 	if err != nil {
 		return p
 	}
-	resp, err := n.dispatch.Probe(req)
+	health, err := n.dispatch.Probe(req)
 	if err != nil {
 		n.metrics.Probes.WithLabelValues("failed").Inc()
 		return p
 	}
 	n.metrics.Probes.WithLabelValues("answered").Inc()
-	state := resp.Header.Get(chivehillheader.ServerState)
-	p.Draining = state == chivehillheader.StateDraining
-	p.Cold = state == chivehillheader.StateCold
-	p.Healthy = resp.StatusCode == http.StatusOK || p.Draining
+	p.Draining = health.State == chivehillheader.StateDraining
+	p.Cold = health.State == chivehillheader.StateCold
+	p.Healthy = health.Status == http.StatusOK || p.Draining
 	return p
 }
--- /dev/null
+++ b/internal/chivehillsim/engine.go
@@ -0,0 +1,164 @@
+// Package chivehillsim runs the decision packages of entry hosts under a
+// virtual clock against small fakes of the network, the store and the servers.
+// A run is determined by its seed.
+//
+// It serves two purposes: the benchmark of the balancing policy against
+// baselines, and the randomised run with faults that checks the invariants.
+package chivehillsim
+
+import (
+	"container/heap"
+	"math/rand/v2"
+
+	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+)
+
+// engine is a discrete event simulation.
+type engine struct {
+	now    chivehillclock.Millis
+	events eventHeap
+	seq    uint64
+	random *rand.Rand
+}
+
+func newEngine(seed uint64) *engine {
+	const stream = 7
+	return &engine{random: rand.New(rand.NewPCG(seed, stream))}
+}
+
+// after runs do once d has passed.
+func (e *engine) after(d chivehillclock.Millis, do func()) {
+	e.at(e.now+max(0, d), do)
+}
+
+// at runs do at a time. Events of the same time run in the order of their making.
+func (e *engine) at(t chivehillclock.Millis, do func()) {
+	e.seq++
+	heap.Push(&e.events, event{at: max(t, e.now), seq: e.seq, do: do})
+}
+
+// every runs do each period until it returns false.
+func (e *engine) every(period chivehillclock.Millis, do func() bool) {
+	e.after(period, func() {
+		if do() {
+			e.every(period, do)
+		}
+	})
+}
+
+// run processes events until a time.
+func (e *engine) run(until chivehillclock.Millis) {
+	for len(e.events) > 0 && e.events[0].at <= until {
+		next := heap.Pop(&e.events).(event)
+		e.now = next.at
+		next.do()
+	}
+	e.now = until
+}
+
+// event is something that happens at a time.
+type event struct {
+	at  chivehillclock.Millis
+	seq uint64
+	do  func()
+}
+
+// eventHeap orders events by time and making.
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].seq < h[j].seq
+}
+
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop implements heap.Interface.
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*h = old[:len(old)-1]
+	return last
+}
+
+// place is where something stands.
+type place struct {
+	region chivehillid.RegionID
+	domain chivehillid.DomainID
+}
+
+// One-way delays of the brief.
+const (
+	delaySameDomain  chivehillclock.Millis = 0.1
+	delayOtherDomain chivehillclock.Millis = 1
+	delayOtherRegion chivehillclock.Millis = 12
+	delayCaller      chivehillclock.Millis = 1
+	// jitter is the largest random part of a delay, as a fraction.
+	jitter = 0.2
+)
+
+// network passes messages between places, in order for each pair of ends.
+type network struct {
+	engine *engine
+	// arrived holds the newest arrival time for each pair of ends.
+	arrived map[[2]string]chivehillclock.Millis
+	// linkCut is set while the regions cannot reach each other.
+	linkCut bool
+	// isolated holds hosts that can reach nothing.
+	isolated map[string]bool
+	// linkBytes counts bytes between hosts of different regions.
+	linkBytes float64
+}
+
+func newNetwork(e *engine) *network {
+	return &network{engine: e, arrived: make(map[[2]string]chivehillclock.Millis), isolated: make(map[string]bool)}
+}
+
+func (n *network) delay(from, to place) chivehillclock.Millis {
+	d := delayOtherRegion
+	switch {
+	case from.domain == to.domain:
+		d = delaySameDomain
+	case from.region == to.region:
+		d = delayOtherDomain
+	}
+	return d * chivehillclock.Millis(1+jitter*n.engine.random.Float64())
+}
+
+// up reports whether messages pass between two ends.
+func (n *network) up(from, to string, a, b place) bool {
+	if n.isolated[from] || n.isolated[to] {
+		return false
+	}
+	return !n.linkCut || a.region == b.region
+}
+
+// end is one end of a connection.
+type end struct {
+	name  string
+	place place
+}
+
+// send delivers a message after the delay and reports whether the path is up.
+func (n *network) send(from, to end, bytes float64, deliver func()) bool {
+	if !n.up(from.name, to.name, from.place, to.place) {
+		return false
+	}
+	if from.place.region != to.place.region {
+		n.linkBytes += bytes
+	}
+	pair := [2]string{from.name, to.name}
+	t := max(n.arrived[pair], n.engine.now+n.delay(from.place, to.place))
+	n.arrived[pair] = t
+	n.engine.at(t, deliver)
+	return true
+}
--- /dev/null
+++ b/internal/chivehillsim/policy.go
@@ -0,0 +1,310 @@
+package chivehillsim
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/chivehill/chivehill/internal/chivehillbalance"
+	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillmember"
+	"github.com/chivehill/chivehill/internal/chivehillowner"
+	"github.com/chivehill/chivehill/internal/chivehillreason"
+	"github.com/chivehill/chivehill/internal/chivehillwire"
+)
+
+// Policy decides where requests run.
+type Policy interface{ policy() }
+
+// Chivehill is the policy of this project.
+type Chivehill struct {
+	Hedging bool
+	Slack   chivehillid.Slots
+	// LocalSlack is the part of the slack used before peers are asked.
+	LocalSlack chivehillid.Slots
+	Fanout     int
+	Off        chivehillbalance.Switches
+	// RandomHosts sends callers to hosts at random instead of by owned slots.
+	RandomHosts bool
+}
+
+// Random sends each request to a random server.
+type Random struct{}
+
+// RoundRobin lets each host go through the servers in turn.
+type RoundRobin struct{}
+
+// LeastReported sends to the server with the least reported load. Reports lag.
+type LeastReported struct{}
+
+// PowerOfTwo sends to the better of two random servers by the host's own requests in flight.
+type PowerOfTwo struct{}
+
+// Omniscient is a bound: one queue for each region that sees all slots at once.
+type Omniscient struct {
+	Slack int
+}
+
+func (Chivehill) policy()     {}
+func (Random) policy()        {}
+func (RoundRobin) policy()    {}
+func (LeastReported) policy() {}
+func (PowerOfTwo) policy()    {}
+func (Omniscient) policy()    {}
+
+// placer places calls that arrive at a host.
+type placer interface {
+	place(h *host, c *call, reply func(answer))
+}
+
+// newPlacer prepares a policy for a run.
+func newPlacer(p Policy, w *world, pool chivehillid.PoolID, slots int) placer {
+	switch p := p.(type) {
+	case Chivehill:
+		setUpChivehill(p, w, pool, slots)
+		return chivehillPlacer{}
+	case Random:
+		return &directPlacer{world: w, pick: pickRandom}
+	case RoundRobin:
+		return &directPlacer{world: w, pick: pickRoundRobin}
+	case LeastReported:
+		d := &directPlacer{world: w, pick: pickLeastReported}
+		d.startReports()
+		return d
+	case PowerOfTwo:
+		return &directPlacer{world: w, pick: pickPowerOfTwo}
+	case Omniscient:
+		return &queuePlacer{world: w, slack: p.Slack, waiting: make(map[chivehillid.RegionID][]*queued), inside: make(map[chivehillid.ServerID]int)}
+	}
+	return nil
+}
+
+// chivehillPlacer hands calls to the pool state machines.
+type chivehillPlacer struct{}
+
+func (chivehillPlacer) place(h *host, c *call, reply func(answer)) {
+	h.begin(c, "", reply)
+}
+
+// setUpChivehill gives each host its servers and peers, all warm and confirmed.
+func setUpChivehill(p Chivehill, w *world, pool chivehillid.PoolID, slots int) {
+	w.hedging = p.Hedging
+	var membership chivehillwire.Membership
+	for _, h := range w.hosts {
+		membership.Members = append(membership.Members, chivehillwire.Member{Host: h.id, Region: h.end.place.region, FailureDomain: h.end.place.domain})
+	}
+	var servers []chivehillowner.Server
+	for _, id := range w.order {
+		s := w.servers[id]
+		servers = append(servers, chivehillowner.Server{Server: id, Region: s.end.place.region, Domain: s.end.place.domain})
+	}
+	owners := chivehillowner.Assign(pool, chivehillmember.Owners(membership), servers)
+	for _, h := range w.hosts {
+		h.pool = chivehillbalance.New(chivehillbalance.Config{
+			Self: h.id, Region: h.end.place.region, Pool: pool, ColdConcurrency: 1, RampSuccesses: chivehillbalance.DefaultRampSuccesses,
+			Slack: p.Slack, LocalSlack: p.LocalSlack, Fanout: p.Fanout, GrantValid: chivehillbalance.DefaultGrantValid, Off: p.Off,
+		})
+		h.handle(chivehillbalance.Confirm{Until: never})
+		var owned []chivehillbalance.Owned
+		for _, id := range w.order {
+			if owners[id] == h.id {
+				owned = append(owned, chivehillbalance.Owned{Server: id, Slots: chivehillid.Slots(slots), KnownLimit: chivehillid.Slots(slots)})
+			}
+		}
+		h.handle(chivehillbalance.SetPeers{Peers: benchPeers(w, h)})
+		h.handle(chivehillbalance.SetOwned{Servers: owned})
+		if !p.RandomHosts {
+			h.weight = len(owned) * slots
+		}
+		h.startTicks()
+	}
+}
+
+// startTicks lets idle time pass in the pool.
+func (h *host) startTicks() {
+	life := h.life
+	h.world.engine.every(idleTicks*tickPeriod, func() bool {
+		h.act(life, func() { h.handle(chivehillbalance.Tick{}) })
+		return life == h.life
+	})
+}
+
+func benchPeers(w *world, h *host) []chivehillbalance.Peer {
+	var peers []chivehillbalance.Peer
+	for _, o := range w.hosts {
+		if o != h {
+			peers = append(peers, chivehillbalance.Peer{Host: o.id, Region: o.end.place.region, RoundTrip: roundTrip(h.end.place, o.end.place)})
+		}
+	}
+	return peers
+}
+
+func roundTrip(a, b place) chivehillclock.Millis {
+	switch {
+	case a.domain == b.domain:
+		return 2 * delaySameDomain
+	case a.region == b.region:
+		return 2 * delayOtherDomain
+	}
+	return 2 * delayOtherRegion
+}
+
+// directPlacer sends each call at once to a server that pick chooses.
+type directPlacer struct {
+	world *world
+	pick  func(d *directPlacer, h *host, servers []*server) *server
+	turn  map[*host]int
+	// inFlight counts the requests of each host at each server.
+	inFlight map[*host]map[*server]int
+	// reported is the newest report of each server.
+	reported map[*server]int
+}
+
+func (d *directPlacer) place(h *host, c *call, reply func(answer)) {
+	s := d.pick(d, h, regionServers(d.world, h))
+	d.count(h, s, 1)
+	sendDirect(d.world, h, s, c, func(a answer) {
+		d.count(h, s, -1)
+		reply(a)
+	})
+}
+
+func (d *directPlacer) count(h *host, s *server, n int) {
+	if d.inFlight == nil {
+		d.inFlight = make(map[*host]map[*server]int)
+	}
+	if d.inFlight[h] == nil {
+		d.inFlight[h] = make(map[*server]int)
+	}
+	d.inFlight[h][s] += n
+}
+
+// sendDirect sends a call to a server and passes its answer on.
+func sendDirect(w *world, h *host, s *server, c *call, done func(answer)) {
+	j := &job{call: c, work: c.work}
+	j.reply = func(r reply) {
+		w.network.send(s.end, h.end, 0, func() { done(answer{outcome: outcomeOf(r)}) })
+	}
+	w.network.send(h.end, s.end, 0, func() { s.arrive(j) })
+}
+
+func outcomeOf(r reply) chivehillreason.Outcome {
+	if r.result == chivehillbalance.Good {
+		return chivehillreason.Done
+	}
+	return chivehillreason.NotRun
+}
+
+func regionServers(w *world, h *host) []*server {
+	var servers []*server
+	for _, id := range w.order {
+		if s := w.servers[id]; s.end.place.region == h.end.place.region {
+			servers = append(servers, s)
+		}
+	}
+	return servers
+}
+
+func pickRandom(d *directPlacer, _ *host, servers []*server) *server {
+	return servers[d.world.engine.random.IntN(len(servers))]
+}
+
+func pickRoundRobin(d *directPlacer, h *host, servers []*server) *server {
+	if d.turn == nil {
+		d.turn = make(map[*host]int)
+	}
+	d.turn[h]++
+	return servers[d.turn[h]%len(servers)]
+}
+
+func pickPowerOfTwo(d *directPlacer, h *host, servers []*server) *server {
+	a := pickRandom(d, h, servers)
+	b := pickRandom(d, h, servers)
+	if d.inFlight[h][b] < d.inFlight[h][a] {
+		return b
+	}
+	return a
+}
+
+func pickLeastReported(d *directPlacer, h *host, servers []*server) *server {
+	least := slices.MinFunc(servers, func(a, b *server) int { return cmp.Compare(d.reported[a], d.reported[b]) })
+	var ties []*server
+	for _, s := range servers {
+		if d.reported[s] == d.reported[least] {
+			ties = append(ties, s)
+		}
+	}
+	return pickRandom(d, h, ties)
+}
+
+// Reports are taken each reportPeriod and arrive after a lag of the brief.
+const (
+	reportPeriod = 100 * chivehillclock.Millisecond
+	reportLagMin = 50 * chivehillclock.Millisecond
+	reportLagMax = 500 * chivehillclock.Millisecond
+)
+
+func (d *directPlacer) startReports() {
+	d.reported = make(map[*server]int)
+	e := d.world.engine
+	for _, id := range d.world.order {
+		s := d.world.servers[id]
+		e.every(reportPeriod, func() bool {
+			load := len(s.running) + len(s.queue)
+			lag := reportLagMin + (reportLagMax-reportLagMin)*chivehillclock.Millis(e.random.Float64())
+			e.after(lag, func() { d.reported[s] = load })
+			return true
+		})
+	}
+}
+
+// queuePlacer is the omniscient queue.
+type queuePlacer struct {
+	world   *world
+	slack   int
+	waiting map[chivehillid.RegionID][]*queued
+	// inside counts the requests on their way to, at, and finished at each server.
+	inside map[chivehillid.ServerID]int
+}
+
+type queued struct {
+	host  *host
+	call  *call
+	reply func(answer)
+}
+
+func (q *queuePlacer) place(h *host, c *call, reply func(answer)) {
+	region := h.end.place.region
+	q.waiting[region] = append(q.waiting[region], &queued{host: h, call: c, reply: reply})
+	q.pump(region)
+}
+
+func (q *queuePlacer) pump(region chivehillid.RegionID) {
+	for len(q.waiting[region]) > 0 {
+		next := q.waiting[region][0]
+		s := q.best(next.host)
+		if s == nil {
+			return
+		}
+		q.waiting[region] = q.waiting[region][1:]
+		q.inside[s.id]++
+		j := &job{call: next.call, work: next.call.work}
+		j.reply = func(r reply) {
+			q.inside[s.id]--
+			q.pump(region)
+			q.world.network.send(s.end, next.host.end, 0, func() { next.reply(answer{outcome: outcomeOf(r)}) })
+		}
+		q.world.network.send(next.host.end, s.end, 0, func() { s.arrive(j) })
+	}
+}
+
+// best returns the server with the fewest requests below its slots and slack.
+func (q *queuePlacer) best(h *host) *server {
+	var best *server
+	for _, s := range regionServers(q.world, h) {
+		if q.inside[s.id] < s.model.slots+q.slack && (best == nil || q.inside[s.id] < q.inside[best.id]) {
+			best = s
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/chivehillsim/server.go
@@ -0,0 +1,290 @@
+package chivehillsim
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/chivehill/chivehill/internal/chivehillbalance"
+	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+)
+
+// serverModel describes how servers behave.
+type serverModel struct {
+	slots int
+	// meanMs and sigma describe the log-normal service time.
+	meanMs float64
+	sigma  float64
+	// slowGap is the mean time between slow spells, 0 for none.
+	slowGap chivehillclock.Millis
+	// unbounded lets requests queue at the server without limit.
+	unbounded bool
+	// coldConcurrency and coldSuccesses tell what a cold server bears.
+	coldConcurrency int
+	coldSuccesses   int
+	// coldFactor multiplies service times of a cold server.
+	coldFactor float64
+}
+
+// Slow spells of the brief: noisy neighbours slow a server for milliseconds.
+const (
+	slowMinMs, slowMaxMs         = 1.0, 50.0
+	slowMinFactor, slowMaxFactor = 2.0, 20.0
+)
+
+// capacityShare returns the share of its nominal speed that a server keeps on
+// average with its slow spells.
+func (m serverModel) capacityShare() float64 {
+	if m.slowGap == 0 {
+		return 1
+	}
+	spell := (slowMinMs + slowMaxMs) / 2
+	slow := spell / (spell + float64(m.slowGap))
+	speed := math.Log(slowMaxFactor/slowMinFactor) / (slowMaxFactor - slowMinFactor)
+	return 1 - slow*(1-speed)
+}
+
+// job is one request at a server.
+type job struct {
+	call *call
+	// send identifies the sending, for the records.
+	send string
+	work float64
+	// reply is called when the server answers; it travels back by the sender.
+	reply func(r reply)
+	// gone is set when the sender gave the job up.
+	gone bool
+	// sentAt is the time at which the host sent the job.
+	sentAt  chivehillclock.Millis
+	started bool
+}
+
+// reply is what a server says.
+type reply struct {
+	result       chivehillbalance.Result
+	serverNotRun bool
+	cold         bool
+	took         chivehillclock.Millis
+}
+
+// server is a fake server.
+type server struct {
+	engine  *engine
+	model   serverModel
+	id      chivehillid.ServerID
+	end     end
+	queue   []*job
+	running []*job
+	seed    uint64
+	spell   spell
+
+	straggle float64
+	draining bool
+	failFast bool
+	broken   bool
+	cold     bool
+	// coldServed counts requests served since the cold start.
+	coldServed int
+	// coldKnownAt is the time from which hosts can know that the server is cold.
+	coldKnownAt chivehillclock.Millis
+	hideCold    bool
+	// drainKnownAt is the time from which hosts can know that the server drains.
+	drainKnownAt chivehillclock.Millis
+	probes       int
+	record       *record
+}
+
+// never is a time after the end of each run.
+const never = chivehillclock.Millis(math.MaxFloat64)
+
+func newServer(e *engine, id chivehillid.ServerID, p place, m serverModel, seed uint64, r *record) *server {
+	s := &server{
+		engine: e, model: m, id: id, end: end{name: string(id), place: p}, seed: seed,
+		straggle: 1, coldKnownAt: never, drainKnownAt: never, record: r, spell: spell{next: never},
+	}
+	if m.slowGap > 0 {
+		s.spell.next = s.spellAt(0).next
+	}
+	return s
+}
+
+// spell is a slow spell and the start of the one after it.
+type spell struct {
+	until  chivehillclock.Millis
+	factor float64
+	next   chivehillclock.Millis
+}
+
+// spellAt returns the spell that begins at a time. It depends only on the
+// server and the time, so that all jobs see the same spells.
+func (s *server) spellAt(start chivehillclock.Millis) spell {
+	random := rand.New(rand.NewPCG(s.seed, math.Float64bits(float64(start))))
+	until := start + chivehillclock.Millis(slowMinMs+(slowMaxMs-slowMinMs)*random.Float64())
+	return spell{
+		until: until, factor: slowMinFactor + (slowMaxFactor-slowMinFactor)*random.Float64(),
+		next: until + chivehillclock.Millis(random.ExpFloat64())*s.model.slowGap,
+	}
+}
+
+// finishAt returns when work that starts now ends, given the slow spells.
+func (s *server) finishAt(work float64) chivehillclock.Millis {
+	t, current := s.engine.now, s.spell
+	for {
+		if t < current.until {
+			doable := float64(current.until-t) / current.factor
+			if work <= doable {
+				return t + chivehillclock.Millis(work*current.factor)
+			}
+			work -= doable
+			t = current.until
+		}
+		if work <= float64(current.next-t) {
+			return t + chivehillclock.Millis(work)
+		}
+		work -= float64(current.next - t)
+		t = current.next
+		current = s.spellAt(t)
+	}
+}
+
+// advanceSpells moves to the spell of the present.
+func (s *server) advanceSpells() {
+	for s.engine.now >= s.spell.next {
+		s.spell = s.spellAt(s.spell.next)
+	}
+}
+
+// bears returns how many requests the server bears now.
+func (s *server) bears() int {
+	if !s.cold {
+		return s.model.slots
+	}
+	return min(s.model.slots, s.model.coldConcurrency+s.coldServed/max(1, s.model.coldSuccesses))
+}
+
+// arrive takes a job in.
+func (s *server) arrive(j *job) {
+	s.record.arrived(s, j)
+	inside := len(s.running) + len(s.queue)
+	switch {
+	case s.broken:
+		j.reply(reply{result: chivehillbalance.Killed})
+		return
+	case s.draining:
+		s.signalDrain()
+		j.reply(reply{result: chivehillbalance.Drains, serverNotRun: true})
+		return
+	case s.failFast:
+		j.reply(reply{result: chivehillbalance.Failed})
+		return
+	case !s.model.unbounded && inside >= 2*s.model.slots+2:
+		s.record.Shed++
+		j.reply(reply{result: chivehillbalance.Shed, serverNotRun: true, cold: s.reportsCold()})
+		return
+	}
+	s.queue = append(s.queue, j)
+	s.startNext()
+}
+
+func (s *server) reportsCold() bool {
+	return s.cold && !s.hideCold
+}
+
+func (s *server) signalDrain() {
+	const known = 50 * chivehillclock.Millisecond
+	s.drainKnownAt = min(s.drainKnownAt, s.engine.now+known)
+}
+
+// signalCold records that an answer that tells of the cold start has left.
+func (s *server) signalCold() {
+	const known = 50 * chivehillclock.Millisecond
+	s.coldKnownAt = min(s.coldKnownAt, s.engine.now+known)
+}
+
+// startNext starts queued jobs in free slots.
+func (s *server) startNext() {
+	for len(s.queue) > 0 && len(s.running) < s.model.slots {
+		j := s.queue[0]
+		s.queue = s.queue[1:]
+		s.running = append(s.running, j)
+		s.start(j)
+	}
+}
+
+func (s *server) start(j *job) {
+	j.started = true
+	s.record.started(s, j)
+	if j.call.crash {
+		s.breakDown()
+		return
+	}
+	s.advanceSpells()
+	work := j.work * s.straggle
+	if s.cold && s.model.coldFactor > 0 {
+		work *= s.model.coldFactor
+	}
+	begin := s.engine.now
+	s.engine.at(s.finishAt(work), func() {
+		if !slices.Contains(s.running, j) {
+			return
+		}
+		s.complete(j, begin)
+	})
+}
+
+// complete ends a job that ran to its end.
+func (s *server) complete(j *job, begin chivehillclock.Millis) {
+	s.running = slices.DeleteFunc(s.running, func(o *job) bool { return o == j })
+	if s.cold {
+		s.coldServed++
+		s.signalCold()
+		if s.bears() >= s.model.slots {
+			s.cold = false
+			s.coldKnownAt = never
+		}
+	}
+	s.record.Ended++
+	if !j.gone {
+		j.reply(reply{result: chivehillbalance.Good, cold: s.reportsCold(), took: s.engine.now - begin})
+	}
+	s.startNext()
+}
+
+// cancel ends a job whose sender gave it up.
+func (s *server) cancel(j *job) {
+	j.gone = true
+	same := func(o *job) bool { return o == j }
+	s.queue = slices.DeleteFunc(s.queue, same)
+	if slices.ContainsFunc(s.running, same) {
+		s.running = slices.DeleteFunc(s.running, same)
+		s.startNext()
+	}
+}
+
+// breakDown kills all jobs; the server comes back cold after a while.
+func (s *server) breakDown() {
+	const downtime = 500 * chivehillclock.Millisecond
+	jobs := append(slices.Clone(s.running), s.queue...)
+	s.running, s.queue = nil, nil
+	s.broken = true
+	for _, j := range jobs {
+		j.reply(reply{result: chivehillbalance.Killed})
+	}
+	s.engine.after(downtime, func() {
+		s.broken = false
+		s.draining = false
+		s.drainKnownAt = never
+		s.coldStart(true)
+	})
+}
+
+// coldStart turns the server cold. announced tells whether hosts know at once.
+func (s *server) coldStart(announced bool) {
+	s.cold = true
+	s.coldServed = 0
+	s.coldKnownAt = never
+	if announced {
+		s.coldKnownAt = s.engine.now
+	}
+}
--- a/internal/chivehillstandin/link.go
+++ b/internal/chivehillstandin/link.go
@@ -1,6 +1,7 @@
 package chivehillstandin
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -95,7 +96,8 @@
 		return
 	}
 	defer l.exit(conn)
-	out, err := net.Dial("tcp", l.target)
+	var dialer net.Dialer
+	out, err := dialer.DialContext(context.Background(), "tcp", l.target)
 	if err != nil {
 		return
 	}
--- a/internal/chivehillwire/wire.go
+++ b/internal/chivehillwire/wire.go
@@ -25,11 +25,11 @@
 	// Time left until the deadline, in milliseconds.
 	LeftMs chivehillclock.Millis `json:"left-ms"`
 
-	// Whether the owner may queue the ask when no slot is idle.
-	Queue bool `json:"queue,omitempty"`
-
 	// Tenant, for fairness in the queue.
 	Tenant chivehillid.TenantID `json:"tenant,omitempty"`
+
+	// Longest wait for a slot, in milliseconds. Absent or 0 forbids waiting.
+	WaitMs chivehillclock.Millis `json:"wait-ms,omitempty"`
 }
 
 // Takes an ask back.
