--- a/internal/chivehillsim/cluster.go
+++ b/internal/chivehillsim/cluster.go
@@ -1,12 +1,454 @@
 package chivehillsim
 
 import (
+	"fmt"
+	"slices"
+
 	"github.com/chivehill/chivehill/internal/chivehillbalance"
+	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillconfig"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillinvariant"
+	"github.com/chivehill/chivehill/internal/chivehillkey"
+	"github.com/chivehill/chivehill/internal/chivehillmember"
+	"github.com/chivehill/chivehill/internal/chivehillplan"
+	"github.com/chivehill/chivehill/internal/chivehillstate"
+	"github.com/chivehill/chivehill/internal/chivehillsuspect"
+	"github.com/chivehill/chivehill/internal/chivehillwire"
+)
+
+// Settings of the simulated hosts, as the program's defaults.
+const (
+	simLease    = 3 * chivehillclock.Second
+	simGrace    = 3 * chivehillclock.Second
+	simSilence  = chivehillclock.Second
+	simBeat     = 300 * chivehillclock.Millisecond
+	simRead     = 500 * chivehillclock.Millisecond
+	simHouse    = chivehillclock.Second
+	simProbe    = 200 * chivehillclock.Millisecond
+	simRemove   = 3 * chivehillclock.Second
+	simTurn     = 500 * chivehillclock.Millisecond
+	simPool     = chivehillid.PoolID("work")
+	beatBytes   = 120
+	configBytes = 4000
 )
 
-// clusterState is what a host knows of the cluster.
-type clusterState struct{}
+var simTopology = []chivehillwire.TopologyRegion{
+	{Region: "east", FailureDomains: []chivehillid.DomainID{"east-a", "east-b"}},
+	{Region: "west", FailureDomains: []chivehillid.DomainID{"west-a", "west-b"}},
+}
+
+// clusterState is what an incarnation of a host knows of the cluster.
+type clusterState struct {
+	self     chivehillwire.Member
+	state    *chivehillstate.State
+	plan     *chivehillplan.Plan
+	table    *chivehillkey.Table
+	adopted  *chivehillkey.Adopted
+	suspects *chivehillsuspect.Table
+	// heard holds when each peer was heard last, and its incarnation.
+	heard      map[chivehillid.HostID]heardPeer
+	successors map[chivehillid.Incarnation]chivehillid.HostID
+	waiting    map[string][]func(answer)
+	leaving    bool
+	// closed is set when the host takes no new connections of callers.
+	closed   bool
+	attempts int
+	// started is the time from which silence of members counts.
+	started chivehillclock.Millis
+}
+
+type heardPeer struct {
+	at          chivehillclock.Millis
+	incarnation chivehillid.Incarnation
+	leaving     bool
+}
+
+// boot starts a new incarnation of a host.
+func (h *host) boot() {
+	w := h.world
+	h.reset()
+	h.dead, h.paused = false, false
+	now := w.engine.now
+	incarnation := chivehillid.Incarnation(fmt.Sprintf("%s-%d", h.id, h.life))
+	c := &clusterState{
+		self: chivehillwire.Member{
+			Host: h.id, Incarnation: incarnation, Region: h.end.place.region, FailureDomain: h.end.place.domain,
+		},
+		plan: chivehillplan.New(h.id, simTopology, now, simLease), adopted: chivehillkey.NewAdopted(),
+		suspects: chivehillsuspect.New(), heard: make(map[chivehillid.HostID]heardPeer),
+		successors: make(map[chivehillid.Incarnation]chivehillid.HostID), waiting: make(map[string][]func(answer)), started: now,
+	}
+	const (
+		window = 5 * chivehillclock.Second
+		keep   = 20 * chivehillclock.Second
+		keys   = 5000
+		kept   = 1 << 20
+	)
+	c.table = chivehillkey.NewTable(h.id, incarnation, chivehillkey.Limits{MaxKeys: keys, KeptBytes: kept, Window: window, Keep: keep}, now)
+	h.cluster = c
+	c.state = chivehillstate.New(func() { h.later(0, h.applyState) })
+	h.pool = chivehillbalance.New(chivehillbalance.Config{
+		Self: h.id, Region: h.end.place.region, Pool: simPool, ColdConcurrency: 1, RampSuccesses: 4,
+		Slack: chivehillbalance.DefaultSlack, LocalSlack: chivehillbalance.DefaultLocalSlack,
+		Fanout: chivehillbalance.DefaultFanout, GrantValid: chivehillbalance.DefaultGrantValid,
+	})
+	h.readStore()
+	h.loop(simRead, h.readStore)
+	h.loop(simBeat, h.beat)
+	h.loop(simHouse, h.housekeeping)
+	h.loop(simProbe, h.probe)
+	h.startTicks()
+}
+
+// loop runs do each period for the life of the incarnation.
+func (h *host) loop(period chivehillclock.Millis, do func()) {
+	life := h.life
+	phase := period * chivehillclock.Millis(h.world.engine.random.Float64())
+	h.world.engine.after(phase, func() {
+		h.world.engine.every(period, func() bool {
+			h.act(life, do)
+			return life == h.life && !h.dead
+		})
+	})
+}
+
+func (h *host) readStore() {
+	at := h.world.engine.now
+	c := h.cluster
+	h.world.store.read(h, func(configuration chivehillwire.Configuration, m chivehillwire.Membership) {
+		if configuration.Version > 0 {
+			c.state.SetConfiguration(configuration)
+		}
+		c.state.ConfirmConfiguration(at, configuration.Version)
+		c.state.SetMembership(h.world.engine.now, m)
+		c.state.ConfirmMembership(at, m.Epoch)
+		c.state.StoreReached(at)
+	})
+}
+
+// applyState brings the pool in line with the state.
+func (h *host) applyState() {
+	c := h.cluster
+	view := c.state.View()
+	if view == nil {
+		return
+	}
+	now := h.world.engine.now
+	pool, found := view.Pool(simPool)
+	if !found {
+		return
+	}
+	owned := c.plan.Owned(now, c.state.Freshness().EpochLearnedAt, view, pool, c.state.Membership())
+	h.handle(chivehillbalance.SetPeers{Peers: h.peers()})
+	h.handle(chivehillbalance.SetOwned{Servers: owned})
+	h.confirm()
+	h.tellBeat()
+}
+
+// reachable returns the members heard of within the silence time.
+func (h *host) reachable() []chivehillwire.Member {
+	var members []chivehillwire.Member
+	now := h.world.engine.now
+	for _, m := range h.cluster.state.Membership().Members {
+		p, found := h.cluster.heard[m.Host]
+		if m.Host != h.id && found && p.incarnation == m.Incarnation && now-p.at < simSilence {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+func (h *host) peers() []chivehillbalance.Peer {
+	var peers []chivehillbalance.Peer
+	for _, m := range h.reachable() {
+		other := place{region: m.Region, domain: m.FailureDomain}
+		peers = append(peers, chivehillbalance.Peer{Host: m.Host, Region: m.Region, RoundTrip: roundTrip(h.end.place, other)})
+	}
+	return peers
+}
+
+func (h *host) joined() bool {
+	m, found := chivehillmember.Find(h.cluster.state.Membership(), h.id)
+	return found && m.Incarnation == h.cluster.self.Incarnation
+}
+
+func (h *host) confirm() {
+	if h.joined() && !h.cluster.leaving {
+		h.handle(chivehillbalance.Confirm{Until: h.cluster.state.Freshness().MembershipConfirmedAt + simLease})
+	}
+}
+
+func (h *host) beat() {
+	h.tellBeat()
+	h.confirm()
+	h.handle(chivehillbalance.SetPeers{Peers: h.peers()})
+}
+
+// tell sends a message to each member.
+func (h *host) tell(bytes float64, allowed func(chivehillwire.Member) bool, do func(to *host, issued chivehillclock.Millis)) {
+	issued := h.world.engine.now
+	for _, m := range h.cluster.state.Membership().Members {
+		if m.Host == h.id || !allowed(m) {
+			continue
+		}
+		h.message(m.Host, bytes, func(to *host) { do(to, issued) })
+	}
+}
+
+// message sends one message to a peer.
+func (h *host) message(to chivehillid.HostID, bytes float64, do func(*host)) {
+	peer := h.world.host(to)
+	life := peer.life
+	h.world.network.send(h.end, peer.end, bytes, func() { peer.act(life, func() { do(peer) }) })
+}
+
+func anyMember(chivehillwire.Member) bool { return true }
+
+func (h *host) tellBeat() {
+	c := h.cluster
+	now := h.world.engine.now
+	f := c.state.Freshness()
+	b := chivehillwire.Beat{
+		Version: c.state.Version(), Epoch: c.state.Membership().Epoch, ConfigAgeMs: now - f.ConfigConfirmedAt,
+		MembershipAgeMs: now - f.MembershipConfirmedAt, Leaving: c.leaving,
+	}
+	self := c.self
+	h.tell(beatBytes, anyMember, func(to *host, issued chivehillclock.Millis) { to.takeBeat(self, b, issued) })
+}
+
+func (h *host) takeBeat(from chivehillwire.Member, b chivehillwire.Beat, issued chivehillclock.Millis) {
+	c := h.cluster
+	c.heard[from.Host] = heardPeer{at: h.world.engine.now, incarnation: from.Incarnation, leaving: b.Leaving}
+	c.state.ConfirmConfiguration(issued-b.ConfigAgeMs, b.Version)
+	c.state.ConfirmMembership(issued-b.MembershipAgeMs, b.Epoch)
+	if b.Version <= c.state.Version() && b.Epoch <= c.state.Membership().Epoch {
+		return
+	}
+	asker := h.id
+	h.message(from.Host, beatBytes, func(p *host) {
+		view, m := p.cluster.state.View(), p.cluster.state.Membership()
+		p.message(asker, configBytes, func(to *host) {
+			if view != nil {
+				to.cluster.state.SetConfiguration(view.Configuration)
+			}
+			to.cluster.state.SetMembership(to.world.engine.now, m)
+		})
+	})
+}
+
+// housekeeping does what is due once a second.
+func (h *host) housekeeping() {
+	c := h.cluster
+	now := h.world.engine.now
+	c.table.Expire(now)
+	c.adopted.Expire(now)
+	if !c.leaving && !h.joined() {
+		h.world.store.changeMembership(h, chivehillmember.Join(c.self))
+	}
+	h.reportServers()
+	h.removeSilent()
+}
+
+func (h *host) reportServers() {
+	for _, s := range h.pool.Servers(h.world.engine.now) {
+		state := chivehillwire.ServerState{Server: s.Server, Pool: simPool, Limit: int(s.Limit), Draining: s.Draining}
+		if h.cluster.plan.Tell(h.world.engine.now, state) {
+			h.tellState(state)
+		}
+	}
+}
+
+func (h *host) tellState(s chivehillwire.ServerState) {
+	from := h.id
+	h.tell(messageBytes, h.sameRegion, func(to *host, _ chivehillclock.Millis) {
+		event, undisputed := to.cluster.plan.TakeState(to.world.engine.now, from, s)
+		if undisputed {
+			to.handle(event)
+		}
+	})
+}
+
+func (h *host) sameRegion(m chivehillwire.Member) bool {
+	return m.Region == h.end.place.region
+}
+
+func (h *host) released(r chivehillbalance.Released) {
+	h.tellState(chivehillwire.ServerState{Server: r.Server, Pool: simPool, Limit: int(r.Limit), Draining: r.Draining, Released: true})
+}
+
+func (h *host) removeSilent() {
+	c := h.cluster
+	if c.leaving {
+		return
+	}
+	turn := 0
+	for _, m := range h.reachable() {
+		if h.sameRegion(m) && m.Host < h.id {
+			turn++
+		}
+	}
+	now := h.world.engine.now
+	for _, m := range c.state.Membership().Members {
+		if m.Host == h.id || !h.sameRegion(m) {
+			continue
+		}
+		last := max(c.started, c.state.Freshness().EpochLearnedAt)
+		if p, found := c.heard[m.Host]; found && p.incarnation == m.Incarnation {
+			last = max(p.at, c.started)
+		}
+		if now-last >= simRemove+chivehillclock.Millis(turn)*simTurn {
+			h.world.store.changeMembership(h, chivehillmember.Remove(m.Host, m.Incarnation))
+		}
+	}
+}
+
+// probe checks servers that broke or drain.
+func (h *host) probe() {
+	for _, id := range h.pool.ProbesDue(h.world.engine.now) {
+		s := h.world.servers[id]
+		life := h.life
+		h.world.network.send(h.end, s.end, 0, func() {
+			s.probes++
+			p := chivehillbalance.Probed{Server: id, Healthy: !s.broken, Draining: s.draining, Cold: s.reportsCold()}
+			h.world.network.send(s.end, h.end, 0, func() { h.act(life, func() { h.handle(p) }) })
+		})
+	}
+}
+
+// mayServe reports whether the configuration can be trusted.
+func (h *host) mayServe() bool {
+	c := h.cluster
+	if c.state.View() == nil {
+		return false
+	}
+	members, reachable := 1, 1
+	for _, m := range c.state.Membership().Members {
+		if m.Host != h.id && h.sameRegion(m) {
+			members++
+		}
+	}
+	for _, m := range h.reachable() {
+		if h.sameRegion(m) {
+			reachable++
+		}
+	}
+	return chivehillplan.MayServe(h.world.engine.now, c.state.Freshness().ConfigConfirmedAt, simGrace, members, reachable)
+}
+
+// mayUse checks a slot right before the request is sent, as the entry does.
+func (h *host) mayUse(a *attempt, d chivehillbalance.Dispatch) bool {
+	view := h.cluster.state.View()
+	server, found := view.Server(d.Server)
+	if !found || view.DomainOut(server.FailureDomain) || !h.mayServe() {
+		return false
+	}
+	region := h.cluster.plan.RegionOf(server.FailureDomain)
+	chivehillinvariant.Assert(a.call.regions.Allows(region), chivehillinvariant.HomeRegion, "slot in %s for a request bound elsewhere", region)
+	return true
+}
+
+// killed records that a request broke a server and reports whether it may be
+// sent again.
+func (h *host) killed(c *call) bool {
+	now := h.world.engine.now
+	f := chivehillid.Fingerprint(c.id)
+	kills := h.cluster.suspects.Record(now, f, h.id)
+	from := h.id
+	allowed := func(m chivehillwire.Member) bool { return c.regions.Allows(m.Region) }
+	h.tell(messageBytes, allowed, func(to *host, _ chivehillclock.Millis) {
+		to.cluster.suspects.Merge(to.world.engine.now, f, from, kills, chivehillsuspect.Hold)
+	})
+	return !h.suspect(c)
+}
+
+func (h *host) suspect(c *call) bool {
+	return h.cluster.suspects.Kills(h.world.engine.now, chivehillid.Fingerprint(c.id)) >= chivehillsuspect.Most(c.idempotent)
+}
+
+// leave stops the host as planned and calls gone when it has left.
+func (h *host) leave(gone func()) {
+	const answerKeep = 2 * chivehillclock.Second
+	c := h.cluster
+	c.leaving = true
+	h.tellBeat()
+	member := c.self
+	member.Leaving = true
+	h.world.store.changeMembership(h, chivehillmember.Join(member))
+	h.later(answerKeep, func() {
+		c.closed = true
+		h.awaitIdle(gone)
+	})
+}
+
+func (h *host) awaitIdle(gone func()) {
+	const poll = 10 * chivehillclock.Millisecond
+	if h.cluster.attempts > 0 {
+		h.later(poll, func() { h.awaitIdle(gone) })
+		return
+	}
+	h.handOver()
+	h.world.store.changeMembership(h, chivehillmember.Remove(h.id, h.cluster.self.Incarnation))
+	h.later(chivehillclock.Second, func() {
+		h.kill()
+		gone()
+	})
+}
+
+func (h *host) handOver() {
+	const handoverBytes = 10_000
+	c := h.cluster
+	c.table.Stop()
+	keys := c.table.Export()
+	for _, m := range h.reachable() {
+		if !h.sameRegion(m) || c.heard[m.Host].leaving {
+			continue
+		}
+		from, successor := c.self, m.Host
+		h.message(m.Host, handoverBytes, func(to *host) {
+			to.cluster.adopted.Add(to.world.engine.now, chivehillclock.Minute, chivehillwire.Handover{
+				Host: from.Host, Incarnation: from.Incarnation, Keys: keys, Last: true,
+			})
+			to.message(from.Host, beatBytes, func(back *host) {
+				back.tell(beatBytes, anyMember, func(p *host, _ chivehillclock.Millis) {
+					p.cluster.successors[from.Incarnation] = successor
+				})
+			})
+		})
+		return
+	}
+}
+
+// kill ends the host at once.
+func (h *host) kill() {
+	h.dead = true
+	h.paused = false
+	h.inbox = nil
+	h.life++
+}
+
+// member finds the host that may answer for a key.
+func (h *host) member(k chivehillkey.Key) (chivehillid.HostID, bool) {
+	c := h.cluster
+	if successor, moved := c.successors[k.Incarnation]; moved {
+		return successor, true
+	}
+	m, found := chivehillmember.Find(c.state.Membership(), k.Host)
+	return k.Host, found && m.Incarnation == k.Incarnation
+}
+
+func (w *world) regionOfHost(id chivehillid.HostID) chivehillid.RegionID {
+	return w.host(id).end.place.region
+}
+
+// view returns the configuration in force, or nil.
+func (h *host) view() *chivehillconfig.View {
+	return h.cluster.state.View()
+}
 
-func (h *host) mayUse(chivehillbalance.Dispatch) bool { return true }
-func (h *host) released(chivehillbalance.Released)    {}
-func (h *host) killed(*call) bool                     { return true }
+// liveHosts returns the hosts that callers of a region can be told of.
+func (w *world) liveHosts(region chivehillid.RegionID) []*host {
+	return slices.DeleteFunc(slices.Clone(w.hosts), func(h *host) bool {
+		return h.dead || h.end.place.region != region || (h.cluster != nil && h.cluster.leaving)
+	})
+}
--- a/internal/chivehillsim/host.go
+++ b/internal/chivehillsim/host.go
@@ -58,6 +58,20 @@
 	order   []chivehillid.ServerID
 	record  *record
 	hedging bool
+	// store is nil in the benchmark.
+	store      *store
+	violations []Violation
+}
+
+// Violation is a broken invariant.
+type Violation struct {
+	Invariant string
+	At        chivehillclock.Millis
+	Detail    string
+}
+
+func (w *world) violate(invariant, detail string) {
+	w.violations = append(w.violations, Violation{Invariant: invariant, At: w.engine.now, Detail: detail})
 }
 
 func (w *world) host(id chivehillid.HostID) *host {
@@ -281,7 +295,7 @@
 	if now >= d.ValidUntil || now >= a.call.deadline {
 		return false
 	}
-	return h.cluster == nil || h.mayUse(d)
+	return h.cluster == nil || h.mayUse(a, d)
 }
 
 func (h *host) refused(r chivehillbalance.Refuse) {
