fix: cold servers and recovery after a pool restart; randomised run in the tests

Requests queued at owners across the link, and each slot lent there stood idle for its round trips (48 ms for 5 ms of work). Cold servers got a second request because (1) a cancelled request freed its slot before the server noticed, (2) a slot lent shortly before the deadline was taken back after twice the time left while the server still ran the request. Ruled out: the ramp itself, ejection, and the late binding of waits. Change: only idle slots are asked for across the link; a cold server's slot is held for 50 ms after a cancellation; a slot is taken back only 11 s after the deadline, or 1 s after it when its holder is gone; news of idle slots goes out unasked at most every 200 ms in the region and every second across the link.

--- a/Makefile
+++ b/Makefile
@@ -18,8 +18,12 @@
 # Runs all tests, the formatter check and the linter.
 test: build unit lint
 
+# The randomised runs are single-threaded, so the race detector would only slow them down.
+SIMULATION := github.com/chivehill/chivehill/internal/chivehillsim
+
 unit:
-	go test -race -timeout 8m ./...
+	go test -race -timeout 8m $$(go list ./... | grep -v '^$(SIMULATION)$$')
+	go test -timeout 8m $(SIMULATION)
 
 lint: $(BIN)/gofumpt $(BIN)/golangci-lint
 	@unformatted=$$($(BIN)/gofumpt -l cmd internal pkg schema); \
--- a/internal/chivehillbalance/asker.go
+++ b/internal/chivehillbalance/asker.go
@@ -13,7 +13,9 @@
 
 const (
 	// maxAsks bounds the owners that one request asks before it is refused.
-	maxAsks = 4
+	maxAsks            = 4
+	regionAdvertPeriod = 200 * chivehillclock.Millisecond
+	linkAdvertPeriod   = chivehillclock.Second
 	// patience is the time for which a request waits at one owner before it
 	// asks others.
 	patience = 2 * chivehillclock.Millisecond
@@ -100,7 +102,12 @@
 	if v.load.Limit == 0 || !w.request.Regions.Allows(v.peer.Region) {
 		return false
 	}
-	return v.peer.Region == p.config.Region || w.request.LinkOpen
+	if v.peer.Region == p.config.Region {
+		return true
+	}
+	// A slot lent across the link stands idle for its round trips, so only
+	// slots that nobody there needs are asked for.
+	return w.request.LinkOpen && v.load.Idle > 0
 }
 
 // candidate is an owner at which a request can wait. The host itself is one.
@@ -169,9 +176,13 @@
 	v := p.peers[owner]
 	v.load.Idle--
 	v.load.Queued++
+	wait := max(0, w.request.WaitUntil-now)
+	if v.peer.Region != p.config.Region {
+		wait = 0
+	}
 	p.out.to(owner).Asks = append(p.out.to(owner).Asks, chivehillwire.Ask{
 		Ask: chivehillid.AskID(w.request.ID), LeftMs: w.request.Deadline - now, Tenant: w.request.Tenant,
-		Exclude: w.request.Exclude, WaitMs: max(0, w.request.WaitUntil-now),
+		Exclude: w.request.Exclude, WaitMs: wait,
 	})
 }
 
@@ -306,17 +317,19 @@
 
 // setPeers replaces the set of peers. Asks at a lost peer count as denied.
 func (p *Pool) setPeers(now chivehillclock.Millis, peers []Peer) {
-	old := p.peers
+	old, added := p.peers, false
 	p.peers = make(map[chivehillid.HostID]*peerView, len(peers))
 	for _, peer := range peers {
 		v := old[peer.Host]
 		if v == nil {
 			v = &peerView{}
+			added = true
 		}
 		v.peer = peer
 		p.peers[peer.Host] = v
 	}
 	p.peerOrder = slices.Sorted(maps.Keys(p.peers))
+	p.shortenLoans(now)
 	for _, e := range p.queue.all() {
 		if e.key.from != p.config.Self && p.peers[e.key.from] == nil {
 			p.queue.remove(e.key)
@@ -333,19 +346,35 @@
 			}
 		}
 	}
-	p.advertised = chivehillwire.Load{Limit: -1}
+	if added {
+		p.regionAdvert = advert{load: chivehillwire.Load{Limit: -1}, at: -chivehillclock.Minute}
+		p.linkAdvert = p.regionAdvert
+	}
 }
 
-// advertise tells the peers of this region about the owned servers when the
-// number of idle slots changed between none and some, or the limit changed.
+// advertise tells peers about the owned servers when the number of idle slots
+// changed between none and some, or the limit changed. Messages about requests
+// carry the same news for free, so it is told seldom.
 func (p *Pool) advertise(now chivehillclock.Millis) {
+	p.advertiseTo(now, &p.regionAdvert, regionAdvertPeriod, func(v *peerView) bool { return v.peer.Region == p.config.Region })
+	p.advertiseTo(now, &p.linkAdvert, linkAdvertPeriod, func(v *peerView) bool { return v.peer.Region != p.config.Region })
+}
+
+// advert is what some peers were last told unasked.
+type advert struct {
+	load chivehillwire.Load
+	at   chivehillclock.Millis
+}
+
+func (p *Pool) advertiseTo(now chivehillclock.Millis, last *advert, period chivehillclock.Millis, include func(*peerView) bool) {
 	load := p.load(now)
-	known := p.advertised
-	if (load.Idle > 0) == (known.Idle > 0) && load.Limit == known.Limit {
+	if (load.Idle > 0) == (last.load.Idle > 0) && load.Limit == last.load.Limit || now-last.at < period {
 		return
 	}
-	p.advertised = load
+	*last = advert{load: load, at: now}
 	for _, h := range p.peerOrder {
-		p.out.to(h)
+		if include(p.peers[h]) {
+			p.out.to(h)
+		}
 	}
 }
--- a/internal/chivehillbalance/owner.go
+++ b/internal/chivehillbalance/owner.go
@@ -11,19 +11,32 @@
 	"github.com/chivehill/chivehill/internal/chivehillwire"
 )
 
-// loanFactor times the time left at the grant bounds how long a slot counts as
-// lent when its holder is never heard of again.
-const loanFactor = 2
+const (
+	// lateAnswer is the time after the deadline for which a holder may still wait
+	// for the answer to a non-idempotent request.
+	lateAnswer = 11 * chivehillclock.Second
+	// lostHolder is the time after the deadline for which a server may still run
+	// a request whose holder is gone.
+	lostHolder = chivehillclock.Second
+)
 
 // leastShare of the typical time must be left for a request to be started.
 const leastShare = 0.5
 
+// cancelTime is the time within which a server notices that a request was given up.
+const cancelTime = 50 * chivehillclock.Millisecond
+
 // loan is a slot that is lent.
 type loan struct {
 	server chivehillid.ServerID
 	// to is the host that holds the slot; this host included.
-	to      chivehillid.HostID
+	to chivehillid.HostID
+	// runUntil is the deadline of the request.
+	runUntil chivehillclock.Millis
+	// expires is the time at which the slot is taken back if its holder is never heard of again.
 	expires chivehillclock.Millis
+	// ending is set while a cold server may still run a request that was given up.
+	ending *Finish
 }
 
 // lend gives a slot of s to an entry.
@@ -38,7 +51,7 @@
 	s.inFlight++
 	p.nextGrant++
 	grant := p.nextGrant
-	p.loans[grant] = &loan{server: s.id, to: e.key.from, expires: now + loanFactor*max(0, e.runUntil-now)}
+	p.loans[grant] = &loan{server: s.id, to: e.key.from, runUntil: e.runUntil, expires: e.runUntil + lateAnswer}
 	valid := p.config.GrantValid
 	if cold && p.config.ColdUnconfirmed == 0 {
 		chivehillinvariant.Assert(now < p.confirmedUntil && now >= s.confirmedFrom, chivehillinvariant.ConfirmedOwner,
@@ -63,6 +76,12 @@
 	if l == nil || l.to != from {
 		return
 	}
+	if s := p.servers[l.server]; s != nil && !s.warm && l.ending == nil && (f.Result == Cancelled || f.Result == Silent) {
+		// The server may still run the request until it notices.
+		l.ending = &f
+		l.expires = now + cancelTime
+		return
+	}
 	delete(p.loans, f.Grant)
 	p.settleServer(now, l.server, f)
 	p.pump(now)
@@ -84,6 +103,15 @@
 	}
 }
 
+// shortenLoans takes back the slots of holders that are gone sooner.
+func (p *Pool) shortenLoans(now chivehillclock.Millis) {
+	for _, l := range p.loans {
+		if l.to != p.config.Self && p.peers[l.to] == nil {
+			l.expires = min(l.expires, max(now, l.runUntil)+lostHolder)
+		}
+	}
+}
+
 func (p *Pool) expireLoans(now chivehillclock.Millis) {
 	for _, g := range slices.Sorted(maps.Keys(p.loans)) {
 		l := p.loans[g]
@@ -91,6 +119,10 @@
 			continue
 		}
 		delete(p.loans, g)
+		if l.ending != nil {
+			p.settleServer(now, l.server, *l.ending)
+			continue
+		}
 		p.settleServer(now, l.server, Finish{Result: Silent, Took: chivehillclock.Minute})
 	}
 }
--- a/internal/chivehillbalance/pool.go
+++ b/internal/chivehillbalance/pool.go
@@ -33,9 +33,9 @@
 	peerOrder []chivehillid.HostID
 	waiters   map[RequestID]*waiter
 	// typical is a moving average of the time of good responses, in milliseconds.
-	typical float64
-	// advertised is the load that peers were last told unasked.
-	advertised chivehillwire.Load
+	typical      float64
+	regionAdvert advert
+	linkAdvert   advert
 
 	out *outbox
 }
--- a/internal/chivehillsim/caller.go
+++ b/internal/chivehillsim/caller.go
@@ -7,6 +7,7 @@
 	"github.com/chivehill/chivehill/internal/chivehillid"
 	"github.com/chivehill/chivehill/internal/chivehillkey"
 	"github.com/chivehill/chivehill/internal/chivehillreason"
+	"github.com/chivehill/chivehill/internal/chivehillregion"
 )
 
 // serve handles a request that arrives at a host, as the entry does. key is
@@ -25,6 +26,9 @@
 		return
 	}
 	c.regions = view.Regions("run", c.tenant)
+	if h.world.off == RegionCheck {
+		c.regions = chivehillregion.Everywhere()
+	}
 	if !c.regions.Allows(h.end.place.region) {
 		reply(answer{early, chivehillreason.RegionForbidden})
 		return
@@ -37,6 +41,10 @@
 		h.count(reply, func(done func(answer)) { h.begin(c, send, done) })
 		return
 	}
+	if h.world.off == KeyOwnership {
+		h.count(reply, func(done func(answer)) { h.begin(c, key, done) })
+		return
+	}
 	if !h.cluster.table.Owns(parsed) {
 		h.serveForeign(c, send, parsed, forwarded, reply)
 		return
@@ -216,9 +224,6 @@
 		}
 		h.act(life, func() {
 			h.serve(&copied, name, s.key, false, func(a answer) {
-				if w.network.isolated[h.end.name] {
-					return
-				}
 				w.engine.after(delayCaller, func() { s.answered(name, a, round) })
 			})
 		})
--- a/internal/chivehillsim/chaos.go
+++ b/internal/chivehillsim/chaos.go
@@ -25,8 +25,28 @@
 	Seconds float64
 	// Load is the offered load as a share of the capacity.
 	Load float64
+	// Off switches one mechanism off, to show that the checks notice.
+	Off Mechanism
 }
 
+// Mechanism names a mechanism that a run can go without.
+type Mechanism string
+
+// The mechanisms that can be switched off.
+const (
+	KeyOwnership      Mechanism = "key-ownership"
+	ColdRamp          Mechanism = "cold-ramp"
+	OwnerConfirmation Mechanism = "owner-confirmation"
+	DomainCheck       Mechanism = "domain-check"
+	StalenessFence    Mechanism = "staleness-fence"
+	DrainMark         Mechanism = "drain-mark"
+	SuspectTable      Mechanism = "suspect-table"
+	RegionCheck       Mechanism = "region-check"
+	PeerVersions      Mechanism = "peer-versions"
+	RetryJudgement    Mechanism = "retry-judgement"
+	GracefulStop      Mechanism = "graceful-stop"
+)
+
 // ChaosReport is the result of a randomised run.
 type ChaosReport struct {
 	Options    ChaosOptions
@@ -79,7 +99,8 @@
 	}
 	w := buildWorld(o.Hosts, o.Servers, model, o.Seed)
 	w.hedging = true
-	w.store = &store{world: w, end: end{name: "store", place: benchPlaces[0]}, configuration: chaosConfiguration(w)}
+	w.off = o.Off
+	w.store = &store{world: w, end: end{name: "store", place: benchPlaces[0], control: true}, configuration: chaosConfiguration(w)}
 	r := &chaos{
 		options: o, world: w, out: make(map[chivehillid.DomainID]bool), outSince: make(map[chivehillid.DomainID]chivehillclock.Millis),
 		cutFrom: never, cutUntil: never,
@@ -167,6 +188,11 @@
 	}
 	if random.Float64() < boundShare {
 		c.tenant = boundTenant
+		// Few of the callers of a bound tenant ask in the wrong region.
+		const astray = 0.1
+		if random.Float64() >= astray {
+			c.origin = benchPlaces[len(benchPlaces)-1]
+		}
 	}
 	return c
 }
--- a/internal/chivehillsim/cluster.go
+++ b/internal/chivehillsim/cluster.go
@@ -92,6 +92,7 @@
 		Self: h.id, Region: h.end.place.region, Pool: simPool, ColdConcurrency: 1, RampSuccesses: 4,
 		Slack: chivehillbalance.DefaultSlack, LocalSlack: chivehillbalance.DefaultLocalSlack,
 		Fanout: chivehillbalance.DefaultFanout, GrantValid: chivehillbalance.DefaultGrantValid,
+		ColdUnconfirmed: coldUnconfirmed(w.off), Off: chivehillbalance.Switches{Ramp: w.off == ColdRamp},
 	})
 	h.readStore()
 	h.loop(simRead, h.readStore)
@@ -139,6 +140,9 @@
 	if !found {
 		return
 	}
+	if h.world.off == DomainCheck {
+		view = chivehillconfig.NewView(withoutDomains(view.Configuration))
+	}
 	owned := c.plan.Owned(now, c.state.Freshness().EpochLearnedAt, view, pool, c.state.Membership())
 	h.handle(chivehillbalance.SetPeers{Peers: h.peers()})
 	h.handle(chivehillbalance.SetOwned{Servers: owned})
@@ -203,6 +207,19 @@
 	h.world.network.send(h.end, peer.end, bytes, func() { peer.act(life, func() { do(peer) }) })
 }
 
+// coldUnconfirmed returns what an owner may send to a cold server without confirmation.
+func coldUnconfirmed(off Mechanism) chivehillid.Slots {
+	if off == OwnerConfirmation {
+		return 1
+	}
+	return 0
+}
+
+func withoutDomains(c chivehillwire.Configuration) chivehillwire.Configuration {
+	c.DomainsOut = nil
+	return c
+}
+
 func anyMember(chivehillwire.Member) bool { return true }
 
 func (h *host) tellBeat() {
@@ -222,7 +239,7 @@
 	c.heard[from.Host] = heardPeer{at: h.world.engine.now, incarnation: from.Incarnation, leaving: b.Leaving}
 	c.state.ConfirmConfiguration(issued-b.ConfigAgeMs, b.Version)
 	c.state.ConfirmMembership(issued-b.MembershipAgeMs, b.Epoch)
-	if b.Version <= c.state.Version() && b.Epoch <= c.state.Membership().Epoch {
+	if h.world.off == PeerVersions || b.Version <= c.state.Version() && b.Epoch <= c.state.Membership().Epoch {
 		return
 	}
 	asker := h.id
@@ -322,6 +339,9 @@
 	if c.state.View() == nil {
 		return false
 	}
+	if h.world.off == StalenessFence {
+		return true
+	}
 	members, reachable := 1, 1
 	for _, m := range c.state.Membership().Members {
 		if m.Host != h.id && h.sameRegion(m) {
@@ -340,7 +360,8 @@
 func (h *host) mayUse(a *attempt, d chivehillbalance.Dispatch) bool {
 	view := h.cluster.state.View()
 	server, found := view.Server(d.Server)
-	if !found || view.DomainOut(server.FailureDomain) || !h.mayServe() {
+	out := view.DomainOut(server.FailureDomain) && h.world.off != DomainCheck
+	if !found || out || !h.mayServe() {
 		return false
 	}
 	region := h.cluster.plan.RegionOf(server.FailureDomain)
@@ -363,6 +384,9 @@
 }
 
 func (h *host) suspect(c *call) bool {
+	if h.world.off == SuspectTable {
+		return false
+	}
 	return h.cluster.suspects.Kills(h.world.engine.now, chivehillid.Fingerprint(c.id)) >= chivehillsuspect.Most(c.idempotent)
 }
 
@@ -370,6 +394,14 @@
 func (h *host) leave(gone func()) {
 	const answerKeep = 2 * chivehillclock.Second
 	c := h.cluster
+	if h.world.off == GracefulStop {
+		if c.attempts > 0 {
+			h.world.violate("planned-stop", fmt.Sprintf("%s left with %d requests in flight", h.id, c.attempts))
+		}
+		h.kill()
+		gone()
+		return
+	}
 	c.leaving = true
 	h.tellBeat()
 	member := c.self
@@ -390,6 +422,9 @@
 	h.handOver()
 	h.world.store.changeMembership(h, chivehillmember.Remove(h.id, h.cluster.self.Incarnation))
 	h.later(chivehillclock.Second, func() {
+		if n := h.cluster.attempts; n > 0 {
+			h.world.violate("planned-stop", fmt.Sprintf("%s left with %d requests in flight", h.id, n))
+		}
 		h.kill()
 		gone()
 	})
--- a/internal/chivehillsim/engine.go
+++ b/internal/chivehillsim/engine.go
@@ -113,7 +113,7 @@
 	arrived map[[2]string]chivehillclock.Millis
 	// linkCut is set while the regions cannot reach each other.
 	linkCut bool
-	// isolated holds hosts that can reach nothing.
+	// isolated holds hosts that reach servers and callers, but neither peers nor the store.
 	isolated map[string]bool
 	// linkBytes counts bytes between hosts of different regions.
 	linkBytes float64
@@ -135,22 +135,24 @@
 }
 
 // up reports whether messages pass between two ends.
-func (n *network) up(from, to string, a, b place) bool {
-	if n.isolated[from] || n.isolated[to] {
+func (n *network) up(from, to end) bool {
+	if from.control && to.control && (n.isolated[from.name] || n.isolated[to.name]) {
 		return false
 	}
-	return !n.linkCut || a.region == b.region
+	return !n.linkCut || from.place.region == to.place.region
 }
 
 // end is one end of a connection.
 type end struct {
 	name  string
 	place place
+	// control is set for hosts and the store.
+	control bool
 }
 
 // send delivers a message after the delay and reports whether the path is up.
 func (n *network) send(from, to end, bytes float64, deliver func()) bool {
-	if !n.up(from.name, to.name, from.place, to.place) {
+	if !n.up(from, to) {
 		return false
 	}
 	if from.place.region != to.place.region {
--- a/internal/chivehillsim/fault.go
+++ b/internal/chivehillsim/fault.go
@@ -83,7 +83,7 @@
 	case ServerDrains:
 		s := r.anyServer()
 		s.draining = true
-		r.during(1, 3, s.breakDown)
+		r.during(4, 6, s.breakDown)
 	case ServerFailsFast:
 		s := r.anyServer()
 		s.failFast = true
@@ -153,7 +153,7 @@
 
 func (r *chaos) isolate(h *host) {
 	r.world.network.isolated[h.end.name] = true
-	r.during(1, 6, func() { delete(r.world.network.isolated, h.end.name) })
+	r.during(2, 12, func() { delete(r.world.network.isolated, h.end.name) })
 }
 
 // loseRegion breaks all hosts and servers of a region that does not hold the store.
--- a/internal/chivehillsim/host.go
+++ b/internal/chivehillsim/host.go
@@ -58,6 +58,8 @@
 	order   []chivehillid.ServerID
 	record  *record
 	hedging bool
+	// off is the mechanism that is switched off, empty for none.
+	off Mechanism
 	// store is nil in the benchmark.
 	store      *store
 	violations []Violation
@@ -112,7 +114,7 @@
 }
 
 func newHost(w *world, id chivehillid.HostID, p place) *host {
-	h := &host{world: w, id: id, end: end{name: string(id), place: p}}
+	h := &host{world: w, id: id, end: end{name: string(id), place: p, control: true}}
 	h.reset()
 	return h
 }
@@ -367,6 +369,9 @@
 	}
 	h := a.host
 	now := h.world.engine.now
+	if r.result == chivehillbalance.Drains && h.world.off == DrainMark {
+		r.result = chivehillbalance.Unused
+	}
 	a.close(f, chivehillbalance.Finish{Result: r.result, Took: now - f.at, Cold: r.cold})
 	switch {
 	case r.result == chivehillbalance.Good:
@@ -383,9 +388,9 @@
 		a.failed(chivehillreason.ServerRefused, true)
 	default:
 		a.sent = true
-		may := a.call.idempotent
+		may := a.call.idempotent || h.world.off == RetryJudgement
 		if h.cluster != nil {
-			may = h.killed(a.call) && may
+			may = (h.killed(a.call) || h.world.off == RetryJudgement) && may
 		}
 		a.failed(chivehillreason.ServerBroke, may)
 	}
--- a/internal/chivehillsim/server.go
+++ b/internal/chivehillsim/server.go
@@ -180,6 +180,7 @@
 		return
 	case !s.model.unbounded && inside >= 2*s.model.slots+2:
 		s.record.Shed++
+		s.signalCold()
 		j.reply(reply{result: chivehillbalance.Shed, serverNotRun: true, cold: s.reportsCold()})
 		return
 	}
@@ -238,7 +239,9 @@
 	s.running = slices.DeleteFunc(s.running, func(o *job) bool { return o == j })
 	if s.cold {
 		s.coldServed++
-		s.signalCold()
+		if !s.hideCold {
+			s.signalCold()
+		}
 		if s.bears() >= s.model.slots {
 			s.cold = false
 			s.coldKnownAt = never
