fix: a server is probed before its new owner sends to it

Ruled out: gossip of server states, which a host that just started has not heard. Change: each adopted server, and each own server after a pause, is probed before it gets work; any answer below 500 counts as healthy.

--- a/internal/chivehillbalance/pool.go
+++ b/internal/chivehillbalance/pool.go
@@ -73,6 +73,7 @@
 	}
 	for _, id := range p.order {
 		p.servers[id].coolDown(p.config)
+		p.servers[id].needsProbe = true
 	}
 }
 
--- a/internal/chivehillbalance/server.go
+++ b/internal/chivehillbalance/server.go
@@ -58,9 +58,9 @@
 	if s.warm {
 		s.limit = s.slots
 	}
-	// The server may have gone down together with its previous owner.
+	// The server may drain, or have gone down together with its previous owner.
+	s.needsProbe = true
 	s.adopted = o.KnownLimit > c.ColdConcurrency && !c.Off.Ramp
-	s.needsProbe = s.adopted
 	return s
 }
 
--- a/internal/chivehillnode/probe.go
+++ b/internal/chivehillnode/probe.go
@@ -68,6 +68,6 @@
 	n.metrics.Probes.WithLabelValues("answered").Inc()
 	p.Draining = health.State == chivehillheader.StateDraining
 	p.Cold = health.State == chivehillheader.StateCold
-	p.Healthy = health.Status == http.StatusOK || p.Draining
+	p.Healthy = health.Status < http.StatusInternalServerError || p.Draining
 	return p
 }
