--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 GOFUMPT_VERSION := v0.12.0
 GOLANGCI_LINT_VERSION := v2.15.0
 
-.PHONY: build run test unit lint format generate soak bench
+.PHONY: build run test unit lint format generate soak bench capacity entry
 
 # Builds all programs.
 build:
@@ -34,6 +34,33 @@
 format: $(BIN)/gofumpt
 	$(BIN)/gofumpt -w cmd internal pkg schema
 
+RUNS ?= 200
+SEED ?= 1
+
+# Randomised runs with faults; a failing seed is printed.
+soak: build
+	$(BIN)/chivehill-bench soak --runs $(RUNS) --seed $(SEED)
+
+# The policy under a virtual clock.
+bench: build
+	$(BIN)/chivehill-bench policy
+	$(BIN)/chivehill-bench mechanisms
+	$(BIN)/chivehill-bench domain
+
+# What control costs an entry host: hosts, servers, pools, seconds.
+capacity: build
+	scripts/capacity.sh 4 22 2 8
+	scripts/capacity.sh 8 22 2 8
+	scripts/capacity.sh 14 22 2 8
+	scripts/capacity.sh 14 325 50 8
+	scripts/capacity.sh 14 650 100 8
+	scripts/capacity.sh 14 1300 200 8
+
+# What an entry host adds to a call: calls a second, seconds.
+entry: build
+	scripts/entry.sh 500 5
+	scripts/entry.sh 2000 5
+
 # Generates the wire types from the schemas.
 generate: $(BIN)/go-jsonschema
 	$(BIN)/go-jsonschema -p chivehillwire -t --only-models --tags json --disable-omitzero --capitalization ID -o internal/chivehillwire/wire.go schema/wire.schema.json
