fix: refuse at once when every server has refused; tests of the entry

Cause, found by the new tests: a request that all servers had refused waited in the queue until its deadline, and a non-idempotent one was then told unknown, since the wait and the caller's time ended together. Ruled out: the retry budget. Change: an owner none of whose servers may serve the request denies it; the refusal names why the last server failed; the wait of a keyed request ends up to 20 ms before its deadline. Also: tests of outcomes, resends, callers that go away, hedges that win and answers that break off, with real connections; benchmarks.

--- a/internal/chivehillbalance/asker.go
+++ b/internal/chivehillbalance/asker.go
@@ -79,7 +79,7 @@
 		return false
 	}
 	slack := p.config.LocalSlack
-	if w.request.WaitUntil < w.request.Deadline {
+	if w.request.NoSlack {
 		slack = 0
 	}
 	s := p.pick(now, w.request.Exclude, slack)
--- a/internal/chivehillbalance/owner.go
+++ b/internal/chivehillbalance/owner.go
@@ -160,7 +160,7 @@
 // enqueue lets an entry wait here, or returns why it cannot.
 func (p *Pool) enqueue(now chivehillclock.Millis, e *entry) chivehillreason.Reason {
 	limit := p.load(now).Limit
-	if limit == 0 && !p.mayRecover(now) {
+	if !p.mayServe(e) {
 		return chivehillreason.NoServer
 	}
 	if !p.config.Off.Admission && !p.fits(now, e, limit) {
@@ -171,11 +171,11 @@
 	return ""
 }
 
-// mayRecover reports whether any owned server can take work again without a
+// mayServe reports whether any owned server can serve an entry without a
 // change of configuration or ownership.
-func (p *Pool) mayRecover(chivehillclock.Millis) bool {
+func (p *Pool) mayServe(e *entry) bool {
 	for _, s := range p.servers {
-		if !s.out && !s.draining {
+		if !s.out && !s.draining && !slices.Contains(e.exclude, s.id) {
 			return true
 		}
 	}
--- a/internal/chivehillbalance/types.go
+++ b/internal/chivehillbalance/types.go
@@ -32,6 +32,8 @@
 	Exclude []chivehillid.ServerID
 	// WaitUntil is the time until which the request may wait for a slot. It is at most Deadline.
 	WaitUntil chivehillclock.Millis
+	// NoSlack keeps the request off slots beyond those of a server, at this host.
+	NoSlack bool
 	// LinkOpen allows servers of other regions.
 	LinkOpen bool
 }
--- /dev/null
+++ b/internal/chivehillentry/entry_test.go
@@ -0,0 +1,358 @@
+package chivehillentry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/rs/zerolog"
+
+	"github.com/chivehill/chivehill/internal/chivehillbalance"
+	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillconfig"
+	"github.com/chivehill/chivehill/internal/chivehilldispatch"
+	"github.com/chivehill/chivehill/internal/chivehillheader"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillkey"
+	"github.com/chivehill/chivehill/internal/chivehillmetrics"
+	"github.com/chivehill/chivehill/internal/chivehillregion"
+	"github.com/chivehill/chivehill/internal/chivehillslot"
+	"github.com/chivehill/chivehill/internal/chivehillsuspect"
+	"github.com/chivehill/chivehill/internal/chivehillwire"
+)
+
+// fakeCluster is a cluster of one host.
+type fakeCluster struct {
+	view    *chivehillconfig.View
+	trusted bool
+}
+
+func (f *fakeCluster) View() *chivehillconfig.View { return f.view }
+
+func (f *fakeCluster) MayServe() bool { return f.trusted }
+
+func (f *fakeCluster) Leaving() bool { return false }
+
+func (f *fakeCluster) Member(chivehillid.Incarnation, chivehillid.HostID) (chivehillwire.Member, bool) {
+	return chivehillwire.Member{}, false
+}
+
+func (f *fakeCluster) Hosts(chivehillid.PoolID, chivehillregion.Set) []HostWeight { return nil }
+
+func (f *fakeCluster) RegionOf(chivehillid.DomainID) chivehillid.RegionID { return "east" }
+
+func (f *fakeCluster) TellSuspect(chivehillid.Fingerprint, int, chivehillregion.Set) {}
+
+// harness is an entry with real servers behind it.
+type harness struct {
+	c       *qt.C
+	entry   *Entry
+	cluster *fakeCluster
+	table   *chivehillkey.Table
+	clock   *chivehillclock.Clock
+	// runs counts the requests that each server took up.
+	runs []*atomic.Int32
+	url  string
+}
+
+// newHarness starts an entry with one warm server for each handler.
+func newHarness(t testing.TB, limits chivehillwire.Limits, handlers ...http.HandlerFunc) *harness {
+	h := &harness{c: qt.New(t), clock: chivehillclock.New(), cluster: &fakeCluster{trusted: true}}
+	pool := chivehillwire.PoolSpec{Pool: "pool"}
+	var owned []chivehillbalance.Owned
+	for i, handle := range handlers {
+		runs := &atomic.Int32{}
+		h.runs = append(h.runs, runs)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			runs.Add(1)
+			handle(w, r)
+		}))
+		h.c.Cleanup(server.Close)
+		id := chivehillid.ServerID(fmt.Sprintf("s%d", i))
+		pool.Servers = append(pool.Servers, chivehillwire.ServerSpec{Server: id, Address: strings.TrimPrefix(server.URL, "http://"), FailureDomain: "east-a", Slots: 4})
+		owned = append(owned, chivehillbalance.Owned{Server: id, Slots: 4, KnownLimit: 4})
+	}
+	h.cluster.view = chivehillconfig.NewView(chivehillwire.Configuration{
+		Version: 1, Pools: []chivehillwire.PoolEntry{{Spec: pool}},
+		Routes: []chivehillwire.RouteEntry{
+			{Spec: chivehillwire.RouteSpec{Route: "read", PathPrefix: "/read", Pool: "pool", Idempotent: true, DeadlineMs: 2000}},
+			{Spec: chivehillwire.RouteSpec{Route: "write", PathPrefix: "/write", Pool: "pool", DeadlineMs: 2000}},
+			{Spec: chivehillwire.RouteSpec{Route: "empty", PathPrefix: "/empty", Pool: "none", Idempotent: true, DeadlineMs: 2000}},
+		},
+	})
+	slots := chivehillslot.New(h.clock, chivehillslot.Hooks{
+		Send:     func(chivehillid.HostID, chivehillwire.PoolMessages) {},
+		Released: func(chivehillid.PoolID, chivehillbalance.Released) {},
+	})
+	slots.Ensure([]chivehillbalance.Config{{Self: "host", Region: "east", Pool: "pool", GrantValid: 1000}})
+	slots.Handle("pool", chivehillbalance.SetOwned{Servers: owned})
+	slots.Handle("pool", chivehillbalance.Confirm{Until: chivehillclock.Minute})
+	for _, o := range owned {
+		slots.Handle("pool", chivehillbalance.Probed{Server: o.Server, Healthy: true})
+	}
+	limits.MaxBodyBytes = 1000
+	h.table = chivehillkey.NewTable("host", "run", chivehillkey.Limits{
+		MaxKeys: 100, KeptBytes: 1 << 20, Window: chivehillclock.Minute, Keep: chivehillclock.Minute,
+	}, h.clock.Now())
+	h.entry = New(Options{
+		Self: chivehillwire.Member{Host: "host", Region: "east"}, Limits: limits, Clock: h.clock, Cluster: h.cluster, Slots: slots,
+		Dispatcher: chivehilldispatch.New(h.clock, func(string) {}), Table: h.table, Adopted: chivehillkey.NewAdopted(),
+		Suspects: chivehillsuspect.New(), Metrics: chivehillmetrics.New(), Log: zerolog.Nop(),
+	})
+	server := httptest.NewServer(h.entry)
+	h.c.Cleanup(server.Close)
+	h.url = server.URL
+	return h
+}
+
+// answerOf is what a caller saw.
+type answerOf struct {
+	status  int
+	outcome string
+	reason  string
+	body    string
+	err     error
+}
+
+// get sends a request, with a key on the write route.
+func (h *harness) get(path, key string) answerOf {
+	req, err := http.NewRequest(http.MethodGet, h.url+path, nil)
+	h.c.Assert(err, qt.IsNil)
+	if key != "" {
+		req.Header.Set(chivehillheader.Key, key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answerOf{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return answerOf{
+		status: resp.StatusCode, outcome: resp.Header.Get(chivehillheader.Outcome), reason: resp.Header.Get(chivehillheader.Reason),
+		body: string(body), err: err,
+	}
+}
+
+func (h *harness) total() int {
+	sum := 0
+	for _, r := range h.runs {
+		sum += int(r.Load())
+	}
+	return sum
+}
+
+var budgets = chivehillwire.Limits{HedgePercent: 5, RetryPercent: 10, LinkBytesPerSecond: 1000}
+
+func fine(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("whole")) }
+
+func breaks(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func sheds(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(chivehillheader.NotRun, "true")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func cuts(size int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(2*size))
+		_, _ = w.Write(make([]byte, size))
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	const small, large = 100, 1 << 20
+	tests := []struct {
+		name    string
+		servers []http.HandlerFunc
+		write   bool
+		outcome string
+		reason  string
+		// runs is the number of requests that servers took up.
+		runs int
+		// broken expects that the answer breaks off.
+		broken bool
+	}{
+		{name: "answered", servers: []http.HandlerFunc{fine}, outcome: "done", runs: 1},
+		{name: "write answered", servers: []http.HandlerFunc{fine}, write: true, outcome: "done", runs: 1},
+		{name: "all refuse", servers: []http.HandlerFunc{sheds, sheds}, outcome: "not-run", reason: "server-refused", runs: 2},
+		{name: "write, all refuse", servers: []http.HandlerFunc{sheds, sheds}, write: true, outcome: "not-run", reason: "server-refused", runs: 2},
+		{name: "all break", servers: []http.HandlerFunc{breaks, breaks, breaks}, outcome: "unknown", reason: "server-broke", runs: 2},
+		{name: "write breaks", servers: []http.HandlerFunc{breaks, breaks, breaks}, write: true, outcome: "unknown", reason: "server-broke", runs: 1},
+		{name: "small answer cut", servers: []http.HandlerFunc{cuts(small), cuts(small)}, outcome: "unknown", reason: "server-broke", runs: 2},
+		{name: "write, answer cut", servers: []http.HandlerFunc{cuts(small)}, write: true, outcome: "unknown", reason: "server-broke", runs: 1},
+		{name: "large answer cut", servers: []http.HandlerFunc{cuts(large)}, outcome: "done", runs: 1, broken: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, budgets, tt.servers...)
+			path, key := "/read", ""
+			if tt.write {
+				path, key = "/write", h.table.Prefix(h.clock.Now())+"k"
+			}
+			a := h.get(path, key)
+			h.c.Check(a.outcome, qt.Equals, tt.outcome)
+			h.c.Check(a.reason, qt.Equals, tt.reason)
+			h.c.Check(a.err != nil, qt.Equals, tt.broken, qt.Commentf("%v", a.err))
+			h.c.Check(h.total(), qt.Equals, tt.runs)
+			if tt.outcome == "done" && !tt.broken {
+				h.c.Check(a.body, qt.Equals, "whole")
+			}
+		})
+	}
+}
+
+func TestRefusedBeforeAnyServer(t *testing.T) {
+	tests := []struct {
+		name    string
+		path    string
+		change  func(*harness)
+		outcome string
+		reason  string
+	}{
+		{"no configuration", "/read", func(h *harness) { h.cluster.view = nil }, "not-run", "config-missing"},
+		{"configuration not trusted", "/read", func(h *harness) { h.cluster.trusted = false }, "not-run", "config-unconfirmed"},
+		{"no pool", "/empty", func(*harness) {}, "not-run", "no-server"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, budgets, fine)
+			tt.change(h)
+			a := h.get(tt.path, "")
+			h.c.Check(a.outcome, qt.Equals, tt.outcome)
+			h.c.Check(a.reason, qt.Equals, tt.reason)
+			h.c.Check(h.total(), qt.Equals, 0)
+		})
+	}
+}
+
+// TestResendWaitsForTheOneAnswer sends a key many times while it runs and after.
+func TestResendWaitsForTheOneAnswer(t *testing.T) {
+	release := make(chan struct{})
+	h := newHarness(t, budgets, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		fine(w, r)
+	})
+	key := h.table.Prefix(h.clock.Now()) + "k"
+	answers := make([]answerOf, 8)
+	var all sync.WaitGroup
+	for i := range answers {
+		all.Go(func() { answers[i] = h.get("/write", key) })
+	}
+	for h.total() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	all.Wait()
+	for _, a := range append(answers, h.get("/write", key)) {
+		h.c.Check(a.outcome, qt.Equals, "done")
+		h.c.Check(a.body, qt.Equals, "whole")
+	}
+	h.c.Check(h.total(), qt.Equals, 1)
+	h.c.Check(h.get("/write/other", key).reason, qt.Equals, "key-mismatch")
+}
+
+// TestCallerGone checks that a caller that goes away cancels a read but not a write.
+func TestCallerGone(t *testing.T) {
+	tests := []struct {
+		path      string
+		cancelled bool
+	}{
+		{"/read", true},
+		{"/write", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.path, func(t *testing.T) {
+			started, ended := make(chan struct{}), make(chan bool, 1)
+			release := make(chan struct{})
+			h := newHarness(t, budgets, func(w http.ResponseWriter, r *http.Request) {
+				close(started)
+				select {
+				case <-r.Context().Done():
+					ended <- true
+				case <-release:
+					ended <- false
+					fine(w, r)
+				}
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.url+tt.path, nil)
+			h.c.Assert(err, qt.IsNil)
+			key := h.table.Prefix(h.clock.Now()) + "k"
+			req.Header.Set(chivehillheader.Key, key)
+			go func() {
+				if resp, err := http.DefaultClient.Do(req); err == nil {
+					_ = resp.Body.Close()
+				}
+			}()
+			<-started
+			cancel()
+			if !tt.cancelled {
+				close(release)
+			}
+			h.c.Check(<-ended, qt.Equals, tt.cancelled)
+			if !tt.cancelled {
+				h.c.Check(h.get(tt.path, key).body, qt.Equals, "whole")
+			}
+		})
+	}
+}
+
+// TestHedgeWins lets the first server hang and expects the answer of the second.
+func TestHedgeWins(t *testing.T) {
+	var first atomic.Bool
+	hang := func(w http.ResponseWriter, r *http.Request) {
+		if first.CompareAndSwap(false, true) {
+			<-r.Context().Done()
+			return
+		}
+		fine(w, r)
+	}
+	h := newHarness(t, budgets, hang, hang)
+	a := h.get("/read", "")
+	h.c.Check(a.body, qt.Equals, "whole")
+	h.c.Check(h.total(), qt.Equals, 2)
+	h.c.Check(testutil.ToFloat64(h.entry.Metrics.Hedges.WithLabelValues("won")), qt.Equals, 1.0)
+}
+
+// TestSuspectIsRefused sends a request that breaks servers again.
+func TestSuspectIsRefused(t *testing.T) {
+	h := newHarness(t, budgets, breaks, breaks, breaks)
+	h.c.Check(h.get("/read", "").reason, qt.Equals, "server-broke")
+	a := h.get("/read", "")
+	h.c.Check(a.outcome, qt.Equals, "not-run")
+	h.c.Check(a.reason, qt.Equals, "suspect")
+	h.c.Check(h.total(), qt.Equals, 2)
+}
+
+func BenchmarkIdempotent(b *testing.B) {
+	h := newHarness(b, budgets, fine, fine)
+	req := httptest.NewRequest(http.MethodGet, "/read", nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		h.entry.ServeHTTP(httptest.NewRecorder(), req.Clone(context.Background()))
+	}
+}
+
+func BenchmarkAcquire(b *testing.B) {
+	h := newHarness(b, budgets, fine, fine)
+	r := chivehillbalance.Request{Deadline: chivehillclock.Minute, WaitUntil: chivehillclock.Minute, Regions: chivehillregion.Everywhere()}
+	b.ReportAllocs()
+	for b.Loop() {
+		slot, err := h.entry.Slots.Acquire(context.Background(), "pool", r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		slot.Release(chivehillbalance.Good, 1, false)
+	}
+}
--- a/internal/chivehillentry/flight.go
+++ b/internal/chivehillentry/flight.go
@@ -19,15 +19,26 @@
 // maxAttempts bounds the sendings of one request, hedges included.
 const maxAttempts = 4
 
+const (
+	// refusalTime is the time left to tell the caller that no slot became free.
+	refusalTime = 20 * chivehillclock.Millisecond
+	// refusalShare bounds it to a share of the time left.
+	refusalShare = 0.1
+)
+
 // acquire waits for a slot that may be used for the call.
 func (e *Entry) acquire(ctx context.Context, c *call, exclude []chivehillid.ServerID, hedge bool) (*chivehillslot.Slot, error) {
 	until := c.deadline
+	if !c.route.Idempotent {
+		// The end of the wait is to be known before the caller's time is over.
+		until -= min(refusalTime, e.left(c.deadline)*refusalShare)
+	}
 	if hedge {
 		until = min(until, e.Clock.Now()+chivehillhedge.MaxWait)
 	}
 	slot, err := e.Slots.Acquire(ctx, c.route.Pool, chivehillbalance.Request{
 		Deadline: c.deadline, Tenant: c.tenant, Regions: c.regions, Exclude: exclude,
-		WaitUntil: until, LinkOpen: !hedge && e.link.Open(e.Clock.Now()),
+		WaitUntil: until, NoSlack: hedge, LinkOpen: !hedge && e.link.Open(e.Clock.Now()),
 	})
 	if err == nil {
 		return slot, nil
--- a/internal/chivehillentry/idempotent.go
+++ b/internal/chivehillentry/idempotent.go
@@ -154,7 +154,7 @@
 		e.Metrics.Retries.WithLabelValues(string(last.Reason)).Inc()
 		slot, err := e.acquire(r.ctx, r.call, r.used, false)
 		if err != nil {
-			return r.refusal(asRefusal(err).Reason), false
+			return r.refusal(whyNoSlot(err, last)), false
 		}
 		reason := r.launch(slot, false)
 		if reason == "" {
@@ -213,6 +213,16 @@
 	})
 }
 
+// whyNoSlot returns the reason to tell when a further attempt gets no slot:
+// that no server is left says less than why the last one failed.
+func whyNoSlot(err error, last chivehillreason.Refusal) chivehillreason.Reason {
+	reason := asRefusal(err).Reason
+	if reason == chivehillreason.NoServer {
+		return last.Reason
+	}
+	return reason
+}
+
 func asRefusal(err error) chivehillreason.Refusal {
 	if r, ok := err.(chivehillreason.Refusal); ok { //nolint:errorlint // the slot manager returns refusals unwrapped
 		return r
--- a/internal/chivehillentry/keyed.go
+++ b/internal/chivehillentry/keyed.go
@@ -132,6 +132,9 @@
 			e.Metrics.Retries.WithLabelValues(string(last.Reason)).Inc()
 		}
 		slot, err := e.acquire(ctx, c, used, false)
+		if err != nil && try > 0 {
+			return refused(notRun(whyNoSlot(err, last)))
+		}
 		if err != nil {
 			return refused(asRefusal(err))
 		}
--- a/internal/chivehillsim/host.go
+++ b/internal/chivehillsim/host.go
@@ -209,7 +209,7 @@
 	}
 	h.handle(chivehillbalance.Submit{Request: chivehillbalance.Request{
 		ID: h.next, Deadline: a.call.deadline, Tenant: a.call.tenant, Regions: a.call.regions,
-		WaitUntil: until, Exclude: slices.Clone(a.used), LinkOpen: h.cluster != nil && !hedge,
+		WaitUntil: until, NoSlack: hedge, Exclude: slices.Clone(a.used), LinkOpen: h.cluster != nil && !hedge,
 	}})
 }
 
