--- a/cmd/chivehill-bench/policy.go
+++ b/cmd/chivehill-bench/policy.go
@@ -17,21 +17,22 @@
 	servers    int
 	slots      int
 	idempotent bool
+	straggler  bool
 }
 
 // shapes lists the pools of both deployments. The second pool of each is never
 // hedged, since its requests are not idempotent.
 var shapes = []shape{
-	{"tables-svc", 22, 4, true},
-	{"design-svc", 8, 4, false},
-	{"matriculas", 20, 2, true},
-	{"oficina-caixa", 8, 2, false},
+	{name: "tables-svc", servers: 22, slots: 4, idempotent: true},
+	{name: "design-svc", servers: 8, slots: 4},
+	{name: "matriculas", servers: 20, slots: 2, idempotent: true},
+	{name: "oficina-caixa", servers: 8, slots: 2},
 }
 
 // own returns the policy as the program runs it.
 func own() chivehillsim.Chivehill {
 	return chivehillsim.Chivehill{
-		Hedging: true, Slack: chivehillbalance.DefaultSlack, LocalSlack: chivehillbalance.DefaultLocalSlack,
+		Hedging: true, Slack: chivehillbalance.DefaultSlack, BacklogSlack: chivehillbalance.DefaultBacklogSlack,
 		Fanout: chivehillbalance.DefaultFanout,
 	}
 }
@@ -109,7 +110,7 @@
 func (s shape) scenario(load float64) chivehillsim.Scenario {
 	const hosts, flood = 14, 0.6
 	return chivehillsim.Scenario{
-		Name: s.name, Servers: s.servers, Slots: s.slots, Hosts: hosts, Load: load, Idempotent: s.idempotent, FloodTenant: flood,
+		Name: s.name, Servers: s.servers, Slots: s.slots, Hosts: hosts, Load: load, Idempotent: s.idempotent, FloodTenant: flood, Straggler: s.straggler,
 	}
 }
 
@@ -124,6 +125,8 @@
 type mechanismsCmd struct {
 	model
 	Loads []float64 `default:"0.85,1.3" help:"Offered loads as shares of the capacity."`
+	// Straggler shows what ejection earns.
+	Straggler bool `help:"Let one server be eight times slower than the others."`
 }
 
 // variants returns the policy without one mechanism each.
@@ -136,13 +139,13 @@
 	return []namedPolicy{
 		{"all on", own()},
 		change("no hedging", func(p *chivehillsim.Chivehill) { p.Hedging = false }),
-		change("no slack", func(p *chivehillsim.Chivehill) { p.Slack, p.LocalSlack = 0, 0 }),
-		change("slack 1", func(p *chivehillsim.Chivehill) { p.Slack, p.LocalSlack = 1, 1 }),
-		change("slack 3", func(p *chivehillsim.Chivehill) { p.Slack, p.LocalSlack = 3, 3 }),
-		change("no own slack", func(p *chivehillsim.Chivehill) { p.LocalSlack = 0 }),
+		change("no slack", func(p *chivehillsim.Chivehill) { p.Slack, p.BacklogSlack = 0, 0 }),
+		change("slack 1", func(p *chivehillsim.Chivehill) { p.Slack = 1 }),
+		change("slack 4", func(p *chivehillsim.Chivehill) { p.Slack = 4 }),
+		change("no backlog slack", func(p *chivehillsim.Chivehill) { p.BacklogSlack = p.Slack }),
+		change("backlog slack 6", func(p *chivehillsim.Chivehill) { p.BacklogSlack = 6 }),
 		change("wait at one owner", func(p *chivehillsim.Chivehill) { p.Fanout = 1 }),
 		change("wait at four owners", func(p *chivehillsim.Chivehill) { p.Fanout = 4 }),
-		change("no stealing", func(p *chivehillsim.Chivehill) { p.Off.Steal = true }),
 		change("no admission", func(p *chivehillsim.Chivehill) { p.Off.Admission = true }),
 		change("no fairness", func(p *chivehillsim.Chivehill) { p.Off.Fairness = true }),
 		change("no ejection", func(p *chivehillsim.Chivehill) { p.Off.Ejection = true }),
@@ -154,6 +157,9 @@
 // Run implements the command.
 func (c *mechanismsCmd) Run() error {
 	w := newTable()
+	for i := range shapes {
+		shapes[i].straggler = c.Straggler
+	}
 	fmt.Fprintln(w, "pool\tload\tvariant\tp50 ms\tp99 ms\tp99.9 ms\tin time\tgoodput\tremote slots\textra sends\tsmallest tenant\t")
 	for _, s := range []shape{shapes[0], shapes[2]} {
 		for _, load := range c.Loads {
--- a/internal/chivehillbalance/asker.go
+++ b/internal/chivehillbalance/asker.go
@@ -78,7 +78,7 @@
 	if !w.request.Regions.Allows(p.config.Region) || p.queue.len() > 0 {
 		return false
 	}
-	slack := p.config.LocalSlack
+	slack := p.config.Slack
 	if w.request.NoSlack {
 		slack = 0
 	}
@@ -298,24 +298,6 @@
 	for _, d := range m.Denials {
 		p.denied(now, RequestID(d.Ask), e.From, chivehillreason.Reason(d.Reason))
 	}
-	p.steal(now, v)
-}
-
-// steal asks a peer that turned out to have idle slots on behalf of the
-// requests that wait elsewhere.
-func (p *Pool) steal(now chivehillclock.Millis, v *peerView) {
-	if p.config.Off.Steal || v.load.Idle <= 0 || len(p.waiters) == 0 {
-		return
-	}
-	for _, id := range slices.Sorted(maps.Keys(p.waiters)) {
-		w := p.waiters[id]
-		if v.load.Idle <= 0 {
-			return
-		}
-		if now-w.since >= patience && v.peer.Region == p.config.Region && p.eligible(w, v) && len(w.asked) < maxAsks {
-			p.ask(now, w, v.peer.Host)
-		}
-	}
 }
 
 // setPeers replaces the set of peers. Asks at a lost peer count as denied.
--- a/internal/chivehillbalance/owner.go
+++ b/internal/chivehillbalance/owner.go
@@ -135,13 +135,14 @@
 
 // pumpOne serves one entry and reports whether it could.
 func (p *Pool) pumpOne(now chivehillclock.Millis) bool {
+	slack := p.slack(now)
 	for _, e := range p.queue.order() {
 		if !p.inTime(now, e) {
 			p.queue.remove(e.key)
 			p.deny(now, e.key, chivehillreason.DeadlinePassed)
 			return true
 		}
-		s := p.pick(now, e.exclude, p.config.Slack)
+		s := p.pick(now, e.exclude, slack)
 		if s == nil {
 			continue
 		}
@@ -152,6 +153,15 @@
 	return false
 }
 
+// slack returns how many requests beyond its slots a server may hold. A long
+// queue takes more: each wait is long then, and idle round trips cost capacity.
+func (p *Pool) slack(now chivehillclock.Millis) chivehillid.Slots {
+	if p.queue.len() > p.load(now).Limit {
+		return p.config.BacklogSlack
+	}
+	return p.config.Slack
+}
+
 // inTime reports whether an entry may still wait and can end in time.
 func (p *Pool) inTime(now chivehillclock.Millis, e *entry) bool {
 	return now < e.deadline && now+chivehillclock.Millis(leastShare*p.typical) < e.runUntil
--- a/internal/chivehillbalance/pool_test.go
+++ b/internal/chivehillbalance/pool_test.go
@@ -17,7 +17,7 @@
 // newPool returns a pool that owns one server of two slots and has two peers.
 func newPool(known chivehillid.Slots) *Pool {
 	p := New(Config{
-		Self: "self", Region: "east", Pool: "pool", ColdConcurrency: 1, RampSuccesses: 2, Slack: 1, LocalSlack: 1, Fanout: 2, GrantValid: 100,
+		Self: "self", Region: "east", Pool: "pool", ColdConcurrency: 1, RampSuccesses: 2, Slack: 1, BacklogSlack: 1, Fanout: 2, GrantValid: 100,
 	})
 	p.Handle(1, SetPeers{Peers: []Peer{{Host: "near", Region: "east", RoundTrip: 2}, {Host: "far", Region: "west", RoundTrip: 24}}})
 	p.Handle(1, SetOwned{Servers: []Owned{{Server: "s", Slots: 2, KnownLimit: known}}})
--- a/internal/chivehillbalance/types.go
+++ b/internal/chivehillbalance/types.go
@@ -203,10 +203,10 @@
 	ColdUnconfirmed chivehillid.Slots
 	// RampSuccesses is the number of good responses for each further slot. It is at least 1.
 	RampSuccesses int
-	// Slack is the number of requests beyond its slots that a warm server is sent while others wait.
+	// Slack is the number of requests beyond its slots that a warm server is sent.
 	Slack chivehillid.Slots
-	// LocalSlack is the part of the slack that a request of this host uses before it asks peers with idle slots.
-	LocalSlack chivehillid.Slots
+	// BacklogSlack is the same while more requests wait than there are slots. It is at least Slack.
+	BacklogSlack chivehillid.Slots
 	// Fanout is the number of owners at which a request waits at the same time. It is at least 1.
 	Fanout int
 	// GrantValid is the time within which a granted slot must be used.
@@ -221,15 +221,14 @@
 	Admission bool
 	Ramp      bool
 	Ejection  bool
-	Steal     bool
 }
 
 // Defaults of Config.
 const (
 	DefaultColdConcurrency chivehillid.Slots     = 1
 	DefaultRampSuccesses                         = 8
-	DefaultSlack           chivehillid.Slots     = 4
-	DefaultLocalSlack      chivehillid.Slots     = 4
-	DefaultFanout                                = 2
+	DefaultSlack           chivehillid.Slots     = 2
+	DefaultBacklogSlack    chivehillid.Slots     = 4
+	DefaultFanout                                = 3
 	DefaultGrantValid      chivehillclock.Millis = 100
 )
--- a/internal/chivehillnode/ownership.go
+++ b/internal/chivehillnode/ownership.go
@@ -76,7 +76,7 @@
 			ColdConcurrency: chivehillid.Slots(max(int(chivehillbalance.DefaultColdConcurrency), p.Spec.ColdConcurrency)),
 			ColdUnconfirmed: chivehillid.Slots(p.Spec.ColdConcurrencyUnconfirmed),
 			RampSuccesses:   orDefault(p.Spec.RampSuccesses, chivehillbalance.DefaultRampSuccesses),
-			Slack:           chivehillbalance.DefaultSlack, LocalSlack: chivehillbalance.DefaultLocalSlack, Fanout: chivehillbalance.DefaultFanout,
+			Slack:           chivehillbalance.DefaultSlack, BacklogSlack: chivehillbalance.DefaultBacklogSlack, Fanout: chivehillbalance.DefaultFanout,
 			GrantValid: chivehillbalance.DefaultGrantValid,
 		})
 	}
--- a/internal/chivehillsim/bench.go
+++ b/internal/chivehillsim/bench.go
@@ -27,6 +27,8 @@
 	Seed       uint64
 	// FloodTenant is the share of calls that one tenant sends; the other two share the rest.
 	FloodTenant float64
+	// Straggler makes one server eight times slower than the others.
+	Straggler bool
 }
 
 // floodTenant is the tenant that sends more than its share.
@@ -103,6 +105,10 @@
 		model.unbounded = true
 	}
 	w := buildWorld(s.Hosts, s.Servers, model, s.Seed)
+	if s.Straggler {
+		const factor = 8
+		w.servers[w.order[0]].straggle = factor
+	}
 	const (
 		stream        = 3
 		highestMicros = 100_000_000
--- a/internal/chivehillsim/cluster.go
+++ b/internal/chivehillsim/cluster.go
@@ -88,7 +88,7 @@
 	c.state = chivehillstate.New(func() { h.later(0, h.applyState) })
 	h.pool = chivehillbalance.New(chivehillbalance.Config{
 		Self: h.id, Region: h.end.place.region, Pool: simPool, ColdConcurrency: 1, RampSuccesses: 4,
-		Slack: chivehillbalance.DefaultSlack, LocalSlack: chivehillbalance.DefaultLocalSlack,
+		Slack: chivehillbalance.DefaultSlack, BacklogSlack: chivehillbalance.DefaultBacklogSlack,
 		Fanout: chivehillbalance.DefaultFanout, GrantValid: chivehillbalance.DefaultGrantValid,
 		ColdUnconfirmed: coldUnconfirmed(w.off), Off: chivehillbalance.Switches{Ramp: w.off == ColdRamp},
 	})
--- a/internal/chivehillsim/policy.go
+++ b/internal/chivehillsim/policy.go
@@ -20,10 +20,10 @@
 type Chivehill struct {
 	Hedging bool
 	Slack   chivehillid.Slots
-	// LocalSlack is the part of the slack used before peers are asked.
-	LocalSlack chivehillid.Slots
-	Fanout     int
-	Off        chivehillbalance.Switches
+	// BacklogSlack is the slack while many requests wait.
+	BacklogSlack chivehillid.Slots
+	Fanout       int
+	Off          chivehillbalance.Switches
 	// RandomHosts sends callers to hosts at random instead of by owned slots.
 	RandomHosts bool
 }
@@ -102,7 +102,7 @@
 	for _, h := range w.hosts {
 		h.pool = chivehillbalance.New(chivehillbalance.Config{
 			Self: h.id, Region: h.end.place.region, Pool: pool, ColdConcurrency: 1, RampSuccesses: chivehillbalance.DefaultRampSuccesses,
-			Slack: p.Slack, LocalSlack: p.LocalSlack, Fanout: p.Fanout, GrantValid: chivehillbalance.DefaultGrantValid, Off: p.Off,
+			Slack: p.Slack, BacklogSlack: p.BacklogSlack, Fanout: p.Fanout, GrantValid: chivehillbalance.DefaultGrantValid, Off: p.Off,
 		})
 		h.handle(chivehillbalance.Confirm{Until: never})
 		var owned []chivehillbalance.Owned
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -54,3 +54,16 @@
 	printf "hosts %d  servers %d  pools %d  |  per host: cpu %.2f %% of a core, resident %.1f MB, heap %.1f MB, sent in region %.2f KB/s, across link %.2f KB/s, store calls %.2f /s\n",
 		h, s, p, 100 * (c2 - c) / t / h, m / h / 1e6, g / h / 1e6, (r2 - r) / t / h / 1e3, (l2 - l) / t / h / 1e3, (n2 - n) / t / h
 }'
+
+# One more change of configuration: its size, and the time until all hosts confirm it.
+echo '{"note": "out", "added": [{"domain-out": {"failure-domain": "trapani-b"}}]}' >"$dir/out.json"
+before=$(total 'chivehill_peer_bytes_total')
+start_ns=$(date +%s%N)
+confirmed=$(bin/chivehill note apply "$dir/out.json" --operators 127.0.0.1:21400 --token-file "$dir/token")
+end_ns=$(date +%s%N)
+sleep 0.3
+after=$(total 'chivehill_peer_bytes_total')
+size=$(curl -fs http://127.0.0.1:21400/v1/configuration | wc -c)
+awk -v ns="$((end_ns - start_ns))" -v size="$size" -v b="$before" -v a="$after" -v h="$hosts" -v text="$confirmed" 'BEGIN {
+	printf "  a change: configuration of %d bytes, %s in %.0f ms, %.1f KB sent per host\n", size, text, ns / 1e6, (a - b) / h / 1e3
+}'
