--- a/cmd/chivehill-bench/main.go
+++ b/cmd/chivehill-bench/main.go
@@ -15,6 +15,7 @@
 	Mechanisms mechanismsCmd `cmd:"" help:"Switch each mechanism off once."`
 	Domain     domainCmd     `cmd:"" help:"Take a failure domain out and back during a rush."`
 	Entry      entryCmd      `cmd:"" help:"Measure the time that an entry host adds to a call."`
+	Keys       keysCmd       `cmd:"" help:"Measure the memory and time of the key table."`
 	Soak       soakCmd       `cmd:"" help:"Run randomised runs with faults and check the invariants."`
 }
 
