--- a/internal/chivehillbalance/asker.go
+++ b/internal/chivehillbalance/asker.go
@@ -19,9 +19,9 @@
 	// remoteCost weighs the round trip to another owner against waiting here: the
 	// slot stands idle for the way of the grant, the request and the release.
 	remoteCost = 6
-	// patience is the time for which a request waits at one owner before it
+	// widenAfter is the time for which a request waits at one owner before it
 	// asks others.
-	patience = 2 * chivehillclock.Millisecond
+	widenAfter = 2 * chivehillclock.Millisecond
 )
 
 // peerView is what this host knows of a peer's servers.
@@ -86,7 +86,7 @@
 	if s == nil {
 		return false
 	}
-	p.lend(now, s, p.entryOf(w))
+	p.grantSlot(now, s, p.entryOf(w))
 	return true
 }
 
@@ -108,7 +108,7 @@
 	if v.peer.Region == p.config.Region {
 		return true
 	}
-	// A slot lent across the link stands idle for its round trips, so only
+	// A slot granted across the link stands idle for its round trips, so only
 	// slots that nobody there needs are asked for.
 	return w.request.LinkOpen && v.load.Idle > 0
 }
@@ -160,7 +160,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(p.waiters)) {
 		w := p.waiters[id]
-		if w != nil && now-w.since >= patience && w.open() < p.config.Fanout {
+		if w != nil && now-w.since >= widenAfter && w.open() < p.config.Fanout {
 			p.wait(now, w, p.config.Fanout)
 		}
 	}
@@ -189,11 +189,11 @@
 	})
 }
 
-// granted hands a slot to a request of this host and takes its other asks back.
-func (p *Pool) granted(now chivehillclock.Millis, id RequestID, d Dispatch) {
+// acceptGrant hands a slot to a request of this host and takes its other asks back.
+func (p *Pool) acceptGrant(now chivehillclock.Millis, id RequestID, d Dispatch) {
 	w := p.waiters[id]
 	if w == nil || now >= d.ValidUntil {
-		p.giveBack(now, d)
+		p.returnSlot(now, d)
 		return
 	}
 	w.asked[d.Owner] = false
@@ -201,8 +201,8 @@
 	p.out.actions = append(p.out.actions, d)
 }
 
-// giveBack returns a slot that this host has no use for.
-func (p *Pool) giveBack(now chivehillclock.Millis, d Dispatch) {
+// returnSlot returns a slot that this host has no use for.
+func (p *Pool) returnSlot(now chivehillclock.Millis, d Dispatch) {
 	p.finish(now, Finish{Owner: d.Owner, Grant: d.Grant, Result: Unused})
 }
 
@@ -232,8 +232,8 @@
 	p.out.actions = append(p.out.actions, Refuse{Request: id, Reason: reason})
 }
 
-// denied handles the denial of an ask: the request asks elsewhere or is refused.
-func (p *Pool) denied(now chivehillclock.Millis, id RequestID, by chivehillid.HostID, reason chivehillreason.Reason) {
+// handleDenial handles the denial of an ask: the request asks elsewhere or is refused.
+func (p *Pool) handleDenial(now chivehillclock.Millis, id RequestID, by chivehillid.HostID, reason chivehillreason.Reason) {
 	w := p.waiters[id]
 	if w == nil || !w.asked[by] {
 		return
@@ -288,15 +288,15 @@
 		p.queue.remove(askKey{from: e.From, ask: w.Ask})
 	}
 	for _, a := range m.Asks {
-		p.asked(now, e.From, a)
+		p.handleAsk(now, e.From, a)
 	}
 	for _, g := range m.Grants {
-		p.granted(now, RequestID(g.Ask), Dispatch{
+		p.acceptGrant(now, RequestID(g.Ask), Dispatch{
 			Request: RequestID(g.Ask), Owner: e.From, Grant: g.Grant, Server: g.Server, ValidUntil: e.Issued + g.ValidMs, Cold: g.Cold,
 		})
 	}
 	for _, d := range m.Denials {
-		p.denied(now, RequestID(d.Ask), e.From, chivehillreason.Reason(d.Reason))
+		p.handleDenial(now, RequestID(d.Ask), e.From, chivehillreason.Reason(d.Reason))
 	}
 }
 
@@ -314,7 +314,7 @@
 		p.peers[peer.Host] = v
 	}
 	p.peerOrder = slices.Sorted(maps.Keys(p.peers))
-	p.shortenLoans(now)
+	p.shortenGrants(now)
 	for _, e := range p.queue.all() {
 		if e.key.from != p.config.Self && p.peers[e.key.from] == nil {
 			p.queue.remove(e.key)
@@ -327,7 +327,7 @@
 		}
 		for _, h := range slices.Sorted(maps.Keys(w.asked)) {
 			if w.asked[h] && h != p.config.Self && p.peers[h] == nil {
-				p.denied(now, id, h, chivehillreason.NoServer)
+				p.handleDenial(now, id, h, chivehillreason.NoServer)
 			}
 		}
 	}
--- a/internal/chivehillbalance/owner.go
+++ b/internal/chivehillbalance/owner.go
@@ -26,8 +26,8 @@
 // cancelTime is the time within which a server notices that a request was given up.
 const cancelTime = 50 * chivehillclock.Millisecond
 
-// loan is a slot that is lent.
-type loan struct {
+// grant is a slot that is in use.
+type grant struct {
 	server chivehillid.ServerID
 	// to is the host that holds the slot; this host included.
 	to chivehillid.HostID
@@ -39,8 +39,8 @@
 	ending *Finish
 }
 
-// lend gives a slot of s to an entry.
-func (p *Pool) lend(now chivehillclock.Millis, s *server, e *entry) {
+// grantSlot gives a slot of s to an entry.
+func (p *Pool) grantSlot(now chivehillclock.Millis, s *server, e *entry) {
 	cold := !s.warm
 	if cold {
 		chivehillinvariant.Assert(s.inFlight < s.limit, chivehillinvariant.ColdLimit,
@@ -50,8 +50,8 @@
 	chivehillinvariant.Assert(!s.draining, chivehillinvariant.Draining, "server %s drains", s.id)
 	s.inFlight++
 	p.nextGrant++
-	grant := p.nextGrant
-	p.loans[grant] = &loan{server: s.id, to: e.key.from, runUntil: e.runUntil, expires: e.runUntil + lateAnswer}
+	id := p.nextGrant
+	p.grants[id] = &grant{server: s.id, to: e.key.from, runUntil: e.runUntil, expires: e.runUntil + lateAnswer}
 	valid := p.config.GrantValid
 	if cold && p.config.ColdUnconfirmed == 0 {
 		chivehillinvariant.Assert(now < p.confirmedUntil && now >= s.confirmedFrom, chivehillinvariant.ConfirmedOwner,
@@ -59,20 +59,20 @@
 		valid = min(valid, p.confirmedUntil-now)
 	}
 	if e.key.from == p.config.Self {
-		p.granted(now, RequestID(e.key.ask), Dispatch{
-			Request: RequestID(e.key.ask), Owner: p.config.Self, Grant: grant, Server: s.id, ValidUntil: now + valid, Cold: cold,
+		p.acceptGrant(now, RequestID(e.key.ask), Dispatch{
+			Request: RequestID(e.key.ask), Owner: p.config.Self, Grant: id, Server: s.id, ValidUntil: now + valid, Cold: cold,
 		})
 		return
 	}
 	p.out.to(e.key.from).Grants = append(p.out.to(e.key.from).Grants, chivehillwire.Grant{
-		Ask: e.key.ask, Grant: grant, Server: s.id, ValidMs: valid, Cold: cold,
+		Ask: e.key.ask, Grant: id, Server: s.id, ValidMs: valid, Cold: cold,
 	})
 }
 
-// settle takes a lent slot back. Unknown loans are ignored: they expired or
+// settle takes a granted slot back. Unknown grants are ignored: they expired or
 // their server moved to another owner.
 func (p *Pool) settle(now chivehillclock.Millis, from chivehillid.HostID, f Finish) {
-	l := p.loans[f.Grant]
+	l := p.grants[f.Grant]
 	if l == nil || l.to != from {
 		return
 	}
@@ -82,9 +82,9 @@
 		l.expires = now + cancelTime
 		return
 	}
-	delete(p.loans, f.Grant)
+	delete(p.grants, f.Grant)
 	p.settleServer(now, l.server, f)
-	p.pump(now)
+	p.serveWaiting(now)
 }
 
 // settleServer records the result of a request at an owned or retired server.
@@ -103,22 +103,22 @@
 	}
 }
 
-// shortenLoans takes back the slots of holders that are gone sooner.
-func (p *Pool) shortenLoans(now chivehillclock.Millis) {
-	for _, l := range p.loans {
+// shortenGrants takes back the slots of holders that are gone sooner.
+func (p *Pool) shortenGrants(now chivehillclock.Millis) {
+	for _, l := range p.grants {
 		if l.to != p.config.Self && p.peers[l.to] == nil {
 			l.expires = min(l.expires, max(now, l.runUntil)+lostHolder)
 		}
 	}
 }
 
-func (p *Pool) expireLoans(now chivehillclock.Millis) {
-	for _, g := range slices.Sorted(maps.Keys(p.loans)) {
-		l := p.loans[g]
+func (p *Pool) expireGrants(now chivehillclock.Millis) {
+	for _, g := range slices.Sorted(maps.Keys(p.grants)) {
+		l := p.grants[g]
 		if now < l.expires {
 			continue
 		}
-		delete(p.loans, g)
+		delete(p.grants, g)
 		if l.ending != nil {
 			p.settleServer(now, l.server, *l.ending)
 			continue
@@ -127,14 +127,14 @@
 	}
 }
 
-// pump gives free slots to waiting entries.
-func (p *Pool) pump(now chivehillclock.Millis) {
-	for p.queue.len() > 0 && p.pumpOne(now) {
+// serveWaiting gives free slots to waiting entries.
+func (p *Pool) serveWaiting(now chivehillclock.Millis) {
+	for p.queue.len() > 0 && p.serveNext(now) {
 	}
 }
 
-// pumpOne serves one entry and reports whether it could.
-func (p *Pool) pumpOne(now chivehillclock.Millis) bool {
+// serveNext serves one entry and reports whether it could.
+func (p *Pool) serveNext(now chivehillclock.Millis) bool {
 	slack := p.slack(now)
 	for _, e := range p.queue.order() {
 		if !p.inTime(now, e) {
@@ -147,7 +147,7 @@
 			continue
 		}
 		p.queue.take(e)
-		p.lend(now, s, e)
+		p.grantSlot(now, s, e)
 		return true
 	}
 	return false
@@ -177,7 +177,7 @@
 		return chivehillreason.Overload
 	}
 	p.queue.push(e)
-	p.pump(now)
+	p.serveWaiting(now)
 	return ""
 }
 
@@ -207,7 +207,7 @@
 // deny tells the sender of an ask that it gets no slot here.
 func (p *Pool) deny(now chivehillclock.Millis, key askKey, reason chivehillreason.Reason) {
 	if key.from == p.config.Self {
-		p.denied(now, RequestID(key.ask), p.config.Self, reason)
+		p.handleDenial(now, RequestID(key.ask), p.config.Self, reason)
 		return
 	}
 	p.out.to(key.from).Denials = append(p.out.to(key.from).Denials, chivehillwire.Denial{Ask: key.ask, Reason: string(reason)})
@@ -220,15 +220,15 @@
 	}
 }
 
-// asked handles an ask of a peer.
-func (p *Pool) asked(now chivehillclock.Millis, from chivehillid.HostID, a chivehillwire.Ask) {
+// handleAsk handles an ask of a peer.
+func (p *Pool) handleAsk(now chivehillclock.Millis, from chivehillid.HostID, a chivehillwire.Ask) {
 	e := &entry{
 		key: askKey{from: from, ask: a.Ask}, deadline: now + a.WaitMs, runUntil: now + a.LeftMs,
 		tenant: a.Tenant, exclude: a.Exclude,
 	}
 	if p.queue.len() == 0 {
 		if s := p.pick(now, e.exclude, 0); s != nil {
-			p.lend(now, s, e)
+			p.grantSlot(now, s, e)
 			return
 		}
 	}
--- a/internal/chivehillbalance/pool.go
+++ b/internal/chivehillbalance/pool.go
@@ -23,13 +23,13 @@
 	// lastEvent is the time of the newest event.
 	lastEvent chivehillclock.Millis
 	servers   map[chivehillid.ServerID]*server
-	// retired holds servers that this host owned and whose lent slots are not all back.
+	// retired holds servers that this host owned and whose granted slots are not all back.
 	retired map[chivehillid.ServerID]*server
 	// order lists the keys of servers, sorted.
 	order []chivehillid.ServerID
 	queue *waitQueue
-	// loans holds each lent slot until it is given back or expires.
-	loans     map[chivehillid.GrantID]*loan
+	// grants holds each granted slot until it is given back or expires.
+	grants    map[chivehillid.GrantID]*grant
 	nextGrant chivehillid.GrantID
 	peers     map[chivehillid.HostID]*peerView
 	peerOrder []chivehillid.HostID
@@ -52,7 +52,7 @@
 		servers: make(map[chivehillid.ServerID]*server),
 		retired: make(map[chivehillid.ServerID]*server),
 		queue:   newWaitQueue(c.Off.Fairness),
-		loans:   make(map[chivehillid.GrantID]*loan),
+		grants:  make(map[chivehillid.GrantID]*grant),
 		peers:   make(map[chivehillid.HostID]*peerView),
 		waiters: make(map[RequestID]*waiter),
 		typical: typicalStart,
@@ -64,22 +64,22 @@
 // The caller passes a Tick far more often.
 const pauseLimit = chivehillclock.Second
 
-// noticePause forgets what is believed of servers after the process was paused.
-func (p *Pool) noticePause(now chivehillclock.Millis) {
+// detectPause forgets what is believed of servers after the process was paused.
+func (p *Pool) detectPause(now chivehillclock.Millis) {
 	paused := p.lastEvent > 0 && now-p.lastEvent > pauseLimit
 	p.lastEvent = now
 	if !paused {
 		return
 	}
 	for _, id := range p.order {
-		p.servers[id].coolDown(p.config)
+		p.servers[id].restartRamp(p.config)
 		p.servers[id].needsProbe = true
 	}
 }
 
 // Handle applies an event at time now and returns what must be done about it.
 func (p *Pool) Handle(now chivehillclock.Millis, e Event) []Action {
-	p.noticePause(now)
+	p.detectPause(now)
 	switch e := e.(type) {
 	case Submit:
 		p.submit(now, e.Request)
@@ -95,7 +95,7 @@
 		p.setOwned(now, e.Servers)
 	case Confirm:
 		p.confirmedUntil = max(p.confirmedUntil, e.Until)
-		p.pump(now)
+		p.serveWaiting(now)
 	case Probed:
 		p.probed(now, e)
 	case Disconnected:
@@ -134,7 +134,7 @@
 	if len(p.servers) == 0 {
 		p.denyAll(now, chivehillreason.NoServer)
 	}
-	p.pump(now)
+	p.serveWaiting(now)
 }
 
 // adopt returns the state of a server that becomes owned.
@@ -147,7 +147,7 @@
 	return s
 }
 
-// retire stops lending slots of a server that is no longer owned.
+// retire stops granting slots of a server that is no longer owned.
 func (p *Pool) retire(s *server) {
 	if s.inFlight > 0 {
 		p.retired[s.id] = s
@@ -167,7 +167,7 @@
 	if s == nil {
 		return
 	}
-	s.coolDown(p.config)
+	s.restartRamp(p.config)
 	s.needsProbe = true
 }
 
@@ -187,7 +187,7 @@
 		s.limit = min(max(s.limit, e.KnownLimit), s.slots)
 		s.warm = s.limit == s.slots && e.KnownLimit > 0
 	}
-	p.pump(now)
+	p.serveWaiting(now)
 }
 
 func (p *Pool) probed(now chivehillclock.Millis, e Probed) {
@@ -199,7 +199,7 @@
 	case e.Draining:
 		s.draining = true
 	case !e.Healthy:
-		s.coolDown(p.config)
+		s.restartRamp(p.config)
 		s.suspend(now)
 		s.needsProbe = true
 	case s.adopted && !e.Cold:
@@ -209,20 +209,20 @@
 		// The server left and came back.
 		s.draining = false
 		s.needsProbe = false
-		s.coolDown(p.config)
+		s.restartRamp(p.config)
 	case e.Cold:
-		s.coolDown(p.config)
+		s.restartRamp(p.config)
 	}
-	p.pump(now)
+	p.serveWaiting(now)
 }
 
 func (p *Pool) tick(now chivehillclock.Millis) {
-	p.expireLoans(now)
+	p.expireGrants(now)
 	p.expireWaiters(now)
 	for _, e := range p.queue.expired(now) {
 		p.deny(now, e.key, chivehillreason.DeadlinePassed)
 	}
-	p.pump(now)
+	p.serveWaiting(now)
 	p.widen(now)
 	p.advertise(now)
 }
--- a/internal/chivehillbalance/pool_test.go
+++ b/internal/chivehillbalance/pool_test.go
@@ -196,7 +196,7 @@
 	d := dispatches(p.Handle(2, Submit{request(1)}))[0]
 	for _, a := range p.Handle(3, SetOwned{}) {
 		_, released := a.(Released)
-		c.Assert(released, qt.IsFalse, qt.Commentf("a slot is still lent"))
+		c.Assert(released, qt.IsFalse, qt.Commentf("a slot is still granted"))
 	}
 	actions := p.Handle(4, Finish{Owner: "self", Grant: d.Grant, Result: Good, Took: 2})
 	c.Assert(actions, qt.DeepEquals, []Action{Released{Server: "s", Limit: 2}})
--- a/internal/chivehillbalance/server.go
+++ b/internal/chivehillbalance/server.go
@@ -33,7 +33,7 @@
 	warm bool
 	// limit is the number of requests allowed at once, from 1 to slots.
 	limit chivehillid.Slots
-	// inFlight counts lent slots. It is never negative.
+	// inFlight counts granted slots. It is never negative.
 	inFlight chivehillid.Slots
 	// streak counts good responses in a row at the present limit.
 	streak   int
@@ -91,8 +91,8 @@
 	return n
 }
 
-// coolDown returns the server to the start of the ramp.
-func (s *server) coolDown(c Config) {
+// restartRamp returns the server to the start of the ramp.
+func (s *server) restartRamp(c Config) {
 	if c.Off.Ramp {
 		return
 	}
@@ -110,7 +110,7 @@
 
 // settle records the result of a request. typical is the pool's usual time.
 func (s *server) settle(now chivehillclock.Millis, f Finish, typical float64, c Config) {
-	chivehillinvariant.Assert(s.inFlight > 0, chivehillinvariant.SlotAccounting, "server %s gives back a slot that it never lent", s.id)
+	chivehillinvariant.Assert(s.inFlight > 0, chivehillinvariant.SlotAccounting, "server %s gives back a slot that it never granted", s.id)
 	s.inFlight--
 	switch f.Result {
 	case Good:
@@ -118,26 +118,26 @@
 	case Failed:
 		s.failures++
 		if s.failures >= failuresToSuspend {
-			s.coolDown(c)
+			s.restartRamp(c)
 			s.suspend(now)
 		}
 	case Killed:
-		s.coolDown(c)
+		s.restartRamp(c)
 		s.suspend(now)
 		s.needsProbe = true
 	case Shed:
-		s.coolDown(c)
+		s.restartRamp(c)
 	case Silent:
 		// A request that started late says nothing of the server.
 		if float64(f.Took) > slowFactor*typical {
-			s.coolDown(c)
+			s.restartRamp(c)
 		}
 	case Drains:
 		s.draining = true
 	case Unused, Cancelled:
 	}
 	if f.Cold && !c.Off.Ramp {
-		s.coolDown(c)
+		s.restartRamp(c)
 	}
 }
 
@@ -150,7 +150,7 @@
 	}
 	s.took += averageWeight * (float64(f.Took) - s.took)
 	if s.straggles(typical, c) {
-		s.coolDown(c)
+		s.restartRamp(c)
 		return
 	}
 	s.streak++
--- a/internal/chivehillbalance/types.go
+++ b/internal/chivehillbalance/types.go
@@ -1,7 +1,7 @@
 // Package chivehillbalance decides which server of a pool runs each request.
 //
 // Each server has one owner host, which knows how many requests run on it and
-// lends its slots: to its own requests directly, to other hosts by a grant.
+// grants its slots: to its own requests directly, to other hosts by a grant.
 // The request itself stays at the host where it arrived until that host holds
 // a slot, so a request that waits was never sent.
 //
@@ -180,7 +180,7 @@
 	Messages chivehillwire.PoolMessages
 }
 
-// Released tells that a server that this host owned has no lent slot left.
+// Released tells that a server that this host owned has no granted slot left.
 type Released struct {
 	Server   chivehillid.ServerID
 	Limit    chivehillid.Slots
--- a/internal/chivehillentry/keyed.go
+++ b/internal/chivehillentry/keyed.go
@@ -67,21 +67,17 @@
 // first runs a key that was not seen before. The run outlives the caller.
 func (e *Entry) first(w http.ResponseWriter, r *http.Request, c *call, key chivehillkey.Key, entry *chivehillkey.Entry) {
 	if reason, ok := e.readRequest(r, c, keyedBytes); !ok {
-		e.end(key, entry, refused(notRun(reason)))
+		e.Table.End(key, entry, refused(notRun(reason)))
 		e.await(w, r, c, key, entry)
 		return
 	}
 	c.request.Header = r.Header.Clone()
 	e.running.Go(func() {
-		e.end(key, entry, e.runKeyed(c))
+		e.Table.End(key, entry, e.runKeyed(c))
 	})
 	e.await(w, r, c, key, entry)
 }
 
-func (e *Entry) end(key chivehillkey.Key, entry *chivehillkey.Entry, a chivehillkey.Answer) {
-	e.Table.End(key, entry, a)
-}
-
 // await waits for the answer of a key until the deadline.
 func (e *Entry) await(w http.ResponseWriter, r *http.Request, c *call, key chivehillkey.Key, entry *chivehillkey.Entry) {
 	timer := time.NewTimer(e.left(c.deadline).Duration())
--- a/internal/chivehillnode/ownership.go
+++ b/internal/chivehillnode/ownership.go
@@ -166,7 +166,7 @@
 func (n *Node) report(s chivehillwire.ServerState) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.plan.Tell(n.clock.Now(), s)
+	return n.plan.Report(n.clock.Now(), s)
 }
 
 // removeTimeout bounds the removal of one member.
--- a/internal/chivehillplan/plan.go
+++ b/internal/chivehillplan/plan.go
@@ -25,8 +25,8 @@
 	tracker  *chivehillowner.Tracker
 	// known holds what owners reported of their servers.
 	known map[chivehillid.ServerID]knownServer
-	// told holds the states of own servers that peers were last told.
-	told map[chivehillid.ServerID]knownServer
+	// reported holds the states of own servers that were last sent to peers.
+	reported map[chivehillid.ServerID]knownServer
 }
 
 // knownServer is a reported state with its time.
@@ -39,7 +39,7 @@
 func New(self chivehillid.HostID, topology []chivehillwire.TopologyRegion, now, lease chivehillclock.Millis) *Plan {
 	return &Plan{
 		self: self, topology: topology, lease: lease, tracker: chivehillowner.NewTracker(now, lease),
-		known: make(map[chivehillid.ServerID]knownServer), told: make(map[chivehillid.ServerID]knownServer),
+		known: make(map[chivehillid.ServerID]knownServer), reported: make(map[chivehillid.ServerID]knownServer),
 	}
 }
 
@@ -97,14 +97,14 @@
 	}, true
 }
 
-// Tell reports whether peers should be told a state of an own server: it is
-// news, or old enough to be told again.
-func (p *Plan) Tell(now chivehillclock.Millis, s chivehillwire.ServerState) bool {
-	old, found := p.told[s.Server]
+// Report reports whether a state of an own server should be sent to peers: it
+// changed, or was sent long ago. It counts the state as sent.
+func (p *Plan) Report(now chivehillclock.Millis, s chivehillwire.ServerState) bool {
+	old, found := p.reported[s.Server]
 	if found && old.state == s && now-old.at < knownFor/2 {
 		return false
 	}
-	p.told[s.Server] = knownServer{state: s, at: now}
+	p.reported[s.Server] = knownServer{state: s, at: now}
 	return true
 }
 
--- a/internal/chivehillsim/caller.go
+++ b/internal/chivehillsim/caller.go
@@ -127,7 +127,7 @@
 	})
 }
 
-// outcomes collects what callers were told about one key or sending.
+// outcomes collects the answers to one key or sending.
 type outcomes struct {
 	answers []answer
 }
@@ -135,8 +135,8 @@
 // driver sends calls and resends them, as callers do.
 type driver struct {
 	world *world
-	// told holds the answers by key or sending.
-	told map[string]*outcomes
+	// answers holds the answers by key or sending.
+	answers map[string]*outcomes
 	// calls counts calls by their last answer.
 	calls map[chivehillreason.Outcome]int
 	total int
@@ -241,10 +241,10 @@
 
 func (s *sending) answered(name string, a answer, round int) {
 	d := s.driver
-	if d.told[name] == nil {
-		d.told[name] = &outcomes{}
+	if d.answers[name] == nil {
+		d.answers[name] = &outcomes{}
 	}
-	d.told[name].answers = append(d.told[name].answers, a)
+	d.answers[name].answers = append(d.answers[name].answers, a)
 	if s.ended || round != s.round {
 		return
 	}
--- a/internal/chivehillsim/chaos.go
+++ b/internal/chivehillsim/chaos.go
@@ -107,7 +107,7 @@
 		options: o, world: w, out: make(map[chivehillid.DomainID]bool), outSince: make(map[chivehillid.DomainID]chivehillclock.Millis),
 		cutFrom: never, cutUntil: never,
 		driver: &driver{
-			world: w, told: make(map[string]*outcomes), calls: make(map[chivehillreason.Outcome]int), crashes: make(map[int]int),
+			world: w, answers: make(map[string]*outcomes), calls: make(map[chivehillreason.Outcome]int), crashes: make(map[int]int),
 		},
 	}, model
 }
@@ -238,8 +238,8 @@
 // checkEnd checks what must hold when everything has healed.
 func (r *chaos) checkEnd() {
 	w := r.world
-	for _, name := range slices.Sorted(maps.Keys(r.driver.told)) {
-		r.checkTold(name, r.driver.told[name])
+	for _, name := range slices.Sorted(maps.Keys(r.driver.answers)) {
+		r.checkAnswers(name, r.driver.answers[name])
 	}
 	for _, o := range w.record.overloads {
 		w.violations = append(w.violations, Violation{
@@ -262,15 +262,15 @@
 	}
 }
 
-// checkTold compares what callers were told with what ran.
-func (r *chaos) checkTold(name string, o *outcomes) {
+// checkAnswers compares the answers with what ran.
+func (r *chaos) checkAnswers(name string, o *outcomes) {
 	runs := r.world.record.runs[name]
 	for _, a := range o.answers {
 		if a.outcome == chivehillreason.NotRun && runs > 0 {
-			r.world.violate("not-run-is-true", fmt.Sprintf("%s was told not run (%s) and ran %d times", name, a.reason, runs))
+			r.world.violate("not-run-is-true", fmt.Sprintf("%s was answered not run (%s) and ran %d times", name, a.reason, runs))
 		}
 		if a.outcome == chivehillreason.Done && a.reason == "" && runs == 0 {
-			r.world.violate("done-is-true", fmt.Sprintf("%s was told done and did not run", name))
+			r.world.violate("done-is-true", fmt.Sprintf("%s was answered done and did not run", name))
 		}
 	}
 }
--- a/internal/chivehillsim/cluster.go
+++ b/internal/chivehillsim/cluster.go
@@ -268,7 +268,7 @@
 func (h *host) reportServers() {
 	for _, s := range h.pool.Servers(h.world.engine.now) {
 		state := chivehillwire.ServerState{Server: s.Server, Pool: simPool, Limit: int(s.Limit), Draining: s.Draining}
-		if h.cluster.plan.Tell(h.world.engine.now, state) {
+		if h.cluster.plan.Report(h.world.engine.now, state) {
 			h.tellState(state)
 		}
 	}
--- a/internal/chivehillsim/fault.go
+++ b/internal/chivehillsim/fault.go
@@ -146,9 +146,7 @@
 	if h.dead || h.paused || h.cluster.leaving {
 		return
 	}
-	life := h.life
 	h.leave(func() { r.world.engine.after(restartTime, h.boot) })
-	_ = life
 }
 
 func (r *chaos) isolate(h *host) {
@@ -184,13 +182,11 @@
 	answered := false
 	if !h.dead && !h.paused && h.cluster != nil {
 		committing := h
-		life := h.life
 		r.world.store.commit(h, n, func(c chivehillwire.Configuration, err error) {
 			answered = true
 			if err == nil {
 				committing.cluster.state.SetConfiguration(c)
 			}
-			_ = life
 			done(c.Version, err)
 		})
 	}
--- a/internal/chivehillsim/host.go
+++ b/internal/chivehillsim/host.go
@@ -270,12 +270,12 @@
 	t := h.pending[d.Request]
 	delete(h.pending, d.Request)
 	if t == nil || t.attempt.ended {
-		h.giveBack(d)
+		h.returnSlot(d)
 		return
 	}
 	a := t.attempt
 	if !h.usable(a, d) {
-		h.giveBack(d)
+		h.returnSlot(d)
 		if a.open == 0 && !t.hedge {
 			a.again(chivehillreason.SlotExpired)
 		}
@@ -287,7 +287,7 @@
 	a.launch(d)
 }
 
-func (h *host) giveBack(d chivehillbalance.Dispatch) {
+func (h *host) returnSlot(d chivehillbalance.Dispatch) {
 	h.handle(chivehillbalance.Finish{Owner: d.Owner, Grant: d.Grant, Result: chivehillbalance.Unused})
 }
 
--- a/internal/chivehillsim/server.go
+++ b/internal/chivehillsim/server.go
@@ -97,8 +97,8 @@
 	drainKnownAt chivehillclock.Millis
 	probes       int
 	record       *record
-	// ownerTold is set if the owner can know of the newest restart.
-	ownerTold bool
+	// ownerNotified is set if the owner can know of the newest restart.
+	ownerNotified bool
 	// connections holds when each host sent something last, for hosts of a cluster.
 	connections map[*host]chivehillclock.Millis
 }
@@ -109,19 +109,19 @@
 // disconnect tells the hosts that keep connections. It reports whether the
 // owner is among them.
 func (s *server) disconnect() bool {
-	told := false
+	notified := false
 	for _, h := range s.hostsInOrder() {
 		if h.dead || s.engine.now-s.connections[h] > keptConnection {
 			continue
 		}
 		life := h.life
-		told = told || (!h.paused && h.pool.Owns(s.id))
+		notified = notified || (!h.paused && h.pool.Owns(s.id))
 		h.world.network.send(s.end, h.end, 0, func() {
 			h.act(life, func() { h.handle(chivehillbalance.Disconnected{Server: s.id}) })
 		})
 	}
 	clear(s.connections)
-	return told
+	return notified
 }
 
 func (s *server) hostsInOrder() []*host {
@@ -206,7 +206,7 @@
 	inside := len(s.running) + len(s.queue)
 	switch {
 	case s.broken:
-		s.ownerTold = true
+		s.ownerNotified = true
 		j.reply(reply{result: chivehillbalance.Killed})
 		return
 	case s.draining:
@@ -307,7 +307,7 @@
 func (s *server) breakDown() {
 	const downtime = 500 * chivehillclock.Millisecond
 	jobs := append(slices.Clone(s.running), s.queue...)
-	s.ownerTold = s.disconnect()
+	s.ownerNotified = s.disconnect()
 	s.running, s.queue = nil, nil
 	s.broken = true
 	for _, j := range jobs {
@@ -317,7 +317,7 @@
 		s.broken = false
 		s.draining = false
 		s.drainKnownAt = never
-		s.coldStart(s.ownerTold)
+		s.coldStart(s.ownerNotified)
 	})
 }
 
--- a/internal/chivehillsim/store.go
+++ b/internal/chivehillsim/store.go
@@ -67,9 +67,8 @@
 // commit applies a note in one conditional update.
 func (s *store) commit(h *host, n chivehillwire.Note, done func(chivehillwire.Configuration, error)) {
 	s.serve(h, true, func() func() {
-		if version, applied := chivehillnote.AppliedVersion(s.configuration, n.Note); applied {
+		if _, applied := chivehillnote.AppliedVersion(s.configuration, n.Note); applied {
 			c := s.configuration
-			_ = version
 			return func() { done(c, nil) }
 		}
 		next, err := chivehillnote.Apply(s.configuration, n, simTopology)
--- a/internal/chivehillslot/manager.go
+++ b/internal/chivehillslot/manager.go
@@ -21,7 +21,7 @@
 type Hooks struct {
 	// Send passes messages to a peer.
 	Send func(to chivehillid.HostID, m chivehillwire.PoolMessages)
-	// Released tells that a server that is no longer owned has no lent slot left.
+	// Released tells that a server that is no longer owned has no granted slot left.
 	Released func(pool chivehillid.PoolID, r chivehillbalance.Released)
 }
 
@@ -61,7 +61,7 @@
 	}
 }
 
-// Slot is a lent slot of a server. It must be released exactly once.
+// Slot is a granted slot of a server. It must be released exactly once.
 type Slot struct {
 	chivehillbalance.Dispatch
 	manager *Manager
--- a/internal/chivehillwire/wire.go
+++ b/internal/chivehillwire/wire.go
@@ -158,7 +158,7 @@
 	Suspects []Suspect `json:"suspects,omitempty"`
 }
 
-// Lends a slot of a server to the sender of an ask.
+// Grants a slot of a server to the sender of an ask.
 type Grant struct {
 	// The ask that is granted.
 	Ask chivehillid.AskID `json:"ask"`
@@ -169,7 +169,7 @@
 	// Identifies the slot within the owner.
 	Grant chivehillid.GrantID `json:"grant"`
 
-	// Server whose slot is lent.
+	// Server whose slot is granted.
 	Server chivehillid.ServerID `json:"server"`
 
 	// Time from the sending of this message within which the slot may be used, in
@@ -474,7 +474,7 @@
 	// Pool of the server.
 	Pool chivehillid.PoolID `json:"pool"`
 
-	// Whether the sender no longer owns the server and holds no lent slot of it.
+	// Whether the sender no longer owns the server and holds no granted slot of it.
 	Released bool `json:"released,omitempty"`
 
 	// The server.
