fix: a host that starts while the store is down takes part

Ruled out: the host list, which was read; the fence on old configurations. Change: a host connects back to a host that connects without being a member, for as long as it is heard of; only members count for the majority of a region; a pool asks each new peer for its load. Before: TestStartDuringOutage waits in vain for the configuration. Conclusion: a new host serves during an outage through the owners that are there.

--- a/internal/chivehillbalance/asker.go
+++ b/internal/chivehillbalance/asker.go
@@ -281,6 +281,9 @@
 	if m.Load != nil {
 		v.load = *m.Load
 	}
+	if m.LoadWanted {
+		p.out.to(e.From)
+	}
 	for _, r := range m.Releases {
 		p.settle(now, e.From, Finish{Grant: r.Grant, Result: Result(r.Result), Took: r.TookMs, Cold: r.Cold})
 	}
@@ -302,13 +305,14 @@
 
 // setPeers replaces the set of peers. Asks at a lost peer count as denied.
 func (p *Pool) setPeers(now chivehillclock.Millis, peers []Peer) {
-	old, added := p.peers, false
+	old := p.peers
 	p.peers = make(map[chivehillid.HostID]*peerView, len(peers))
 	for _, peer := range peers {
 		v := old[peer.Host]
 		if v == nil {
 			v = &peerView{}
-			added = true
+			// The peer may have sent its load before this host knew it.
+			p.out.to(peer.Host).LoadWanted = true
 		}
 		v.peer = peer
 		p.peers[peer.Host] = v
@@ -331,10 +335,6 @@
 			}
 		}
 	}
-	if added {
-		p.regionAdvert = advert{load: chivehillwire.Load{Limit: -1}, at: -chivehillclock.Minute}
-		p.linkAdvert = p.regionAdvert
-	}
 }
 
 // advertise tells peers about the owned servers when the number of idle slots
--- a/internal/chivehillbalance/pool_test.go
+++ b/internal/chivehillbalance/pool_test.go
@@ -159,6 +159,19 @@
 	c.Assert(sends(actions)["near"].Releases, qt.HasLen, 1)
 }
 
+// TestLoadsAreExchanged checks that two hosts learn each other's load whichever
+// of them knows the other first.
+func TestLoadsAreExchanged(t *testing.T) {
+	c := qt.New(t)
+	p := New(Config{Self: "self", Region: "east", Pool: "pool"})
+	p.Handle(1, Receive{From: "near", Messages: chivehillwire.PoolMessages{Load: &chivehillwire.Load{Limit: 4}}, Issued: 1})
+	actions := p.Handle(2, SetPeers{Peers: []Peer{{Host: "near", Region: "east"}}})
+	c.Assert(sends(actions)["near"].LoadWanted, qt.IsTrue)
+	actions = p.Handle(3, Receive{From: "near", Messages: chivehillwire.PoolMessages{Load: &chivehillwire.Load{Limit: 4}, LoadWanted: true}, Issued: 3})
+	c.Assert(sends(actions)["near"].Load, qt.IsNotNil)
+	c.Assert(sends(actions)["near"].LoadWanted, qt.IsFalse)
+}
+
 func TestBoundRequestAsksNoOtherRegion(t *testing.T) {
 	c := qt.New(t)
 	p := New(Config{Self: "self", Region: "east", Pool: "pool", Fanout: 2})
--- a/internal/chivehillnode/peers.go
+++ b/internal/chivehillnode/peers.go
@@ -200,14 +200,15 @@
 	if now-confirmedAt < n.settings.Limits.ConfigGraceMs {
 		return true
 	}
+	members := n.members()
 	size, reachable := 1, 1
-	for _, m := range n.members() {
+	for _, m := range members {
 		if m.Region == n.self.Region && m.Host != n.self.Host {
 			size++
 		}
 	}
 	for _, m := range n.mesh.Reachable() {
-		if m.Region == n.self.Region {
+		if m.Region == n.self.Region && slices.Contains(members, m) {
 			reachable++
 		}
 	}
--- a/internal/chivehillpeer/link.go
+++ b/internal/chivehillpeer/link.go
@@ -31,6 +31,9 @@
 type link struct {
 	mesh   *Mesh
 	member chivehillwire.Member
+	// guest is set for a host that connected without being a member. It is
+	// written before the link is shared.
+	guest  bool
 	since  chivehillclock.Millis
 	cancel context.CancelFunc
 	wake   chan struct{}
@@ -194,6 +197,7 @@
 
 func joinPool(to *chivehillwire.PoolMessages, p chivehillwire.PoolMessages) {
 	to.Load = p.Load
+	to.LoadWanted = to.LoadWanted || p.LoadWanted
 	to.Asks = append(to.Asks, p.Asks...)
 	to.Grants = append(to.Grants, p.Grants...)
 	to.Denials = append(to.Denials, p.Denials...)
--- a/internal/chivehillpeer/mesh.go
+++ b/internal/chivehillpeer/mesh.go
@@ -124,7 +124,7 @@
 		}
 		wanted[e.Host] = true
 		old := m.links[e.Host]
-		if old != nil && old.member.Incarnation == e.Incarnation {
+		if old != nil && (old.member.Incarnation == e.Incarnation || m.isLiveGuest(old)) {
 			continue
 		}
 		if old != nil {
@@ -133,7 +133,7 @@
 		m.links[e.Host] = m.startLink(e)
 	}
 	for h, l := range m.links {
-		if !wanted[h] {
+		if !wanted[h] && !m.isLiveGuest(l) {
 			l.stop()
 			delete(m.links, h)
 			delete(m.heard, h)
@@ -141,6 +141,30 @@
 	}
 }
 
+// isLiveGuest reports whether a link leads to a host that connected by itself
+// and was heard of lately. The caller holds m.mu.
+func (m *Mesh) isLiveGuest(l *link) bool {
+	h := m.heard[l.member.Host]
+	return l.guest && h != nil && h.member.Incarnation == l.member.Incarnation && m.clock.Now()-h.at < m.silenceOf(l.member)
+}
+
+// welcome connects back to a host that is not a member, or not this
+// incarnation of it: it may have started while the store was down.
+func (m *Mesh) welcome(member chivehillwire.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old := m.links[member.Host]
+	if old != nil && (old.member.Incarnation == member.Incarnation || m.isLiveGuest(old)) {
+		return
+	}
+	if old != nil {
+		old.stop()
+	}
+	l := m.startLink(member)
+	l.guest = true
+	m.links[member.Host] = l
+}
+
 // Close ends all connections and waits for them.
 func (m *Mesh) Close() {
 	m.cancel()
@@ -256,7 +280,9 @@
 			m.closed("receive", member.Host, err)
 			return
 		}
-		m.receive(m.note(member, e))
+		message := m.note(member, e)
+		m.welcome(member)
+		m.receive(message)
 	}
 }
 
--- a/internal/chivehillproc/cluster_test.go
+++ b/internal/chivehillproc/cluster_test.go
@@ -19,8 +19,10 @@
 	"github.com/chivehill/chivehill/internal/chivehilladmin"
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillmember"
 	"github.com/chivehill/chivehill/internal/chivehillquery"
 	"github.com/chivehill/chivehill/internal/chivehillstandin"
+	"github.com/chivehill/chivehill/internal/chivehillstore"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
 	"github.com/chivehill/chivehill/pkg/chivehillclient"
 )
@@ -56,6 +58,7 @@
 	// storeLink passes the hosts' connections to the store.
 	storeLink *chivehillstandin.Link
 	storeAddr string
+	list      *chivehillstandin.HostList
 	listAddr  string
 	token     string
 }
@@ -135,7 +138,8 @@
 	c := qt.New(t)
 	k := &cluster{c: c, dir: t.TempDir(), store: chivehillstandin.NewStore(), token: "test-token-of-operators"}
 	k.storeLink, k.storeAddr = throughLink(c, serveHTTP(c, k.store.Handler()))
-	k.listAddr = serveHTTP(c, chivehillstandin.NewHostList(0).Handler())
+	k.list = chivehillstandin.NewHostList(0)
+	k.listAddr = serveHTTP(c, k.list.Handler())
 	c.Assert(os.WriteFile(filepath.Join(k.dir, "secret"), []byte("a shared secret of tests"), 0o600), qt.IsNil)
 	c.Assert(os.WriteFile(filepath.Join(k.dir, "token"), []byte(k.token), 0o600), qt.IsNil)
 	for i, d := range domains {
@@ -145,7 +149,7 @@
 		}
 	}
 	for i := range domains {
-		k.startHost(i)
+		k.startHost(fmt.Sprintf("entry-%d", i), i)
 	}
 	k.awaitMembers(len(domains))
 	k.apply(k.firstNote())
@@ -168,10 +172,10 @@
 	k.servers = append(k.servers, s)
 }
 
-// startHost starts the i-th host, on new addresses.
-func (k *cluster) startHost(i int) *hostProc {
+// startHost starts a host in the i-th failure domain, on new addresses.
+func (k *cluster) startHost(name string, i int) *hostProc {
 	h := &hostProc{log: &bytes.Buffer{}, exited: make(chan struct{}), settings: chivehillwire.Settings{
-		Host: chivehillid.HostID(fmt.Sprintf("entry-%d", i)), Region: chivehillid.RegionID(regions[i]),
+		Host: chivehillid.HostID(name), Region: chivehillid.RegionID(regions[i]),
 		FailureDomain: chivehillid.DomainID(domains[i]), CallerAddress: freeAddress(k.c), PeerAddress: freeAddress(k.c),
 		OperatorAddress: freeAddress(k.c), StoreAddress: k.storeAddr, HostListAddress: k.listAddr,
 		PeerSecretFile: filepath.Join(k.dir, "secret"), OperatorTokenFile: filepath.Join(k.dir, "token"),
@@ -185,7 +189,7 @@
 	}}
 	data, err := json.Marshal(h.settings)
 	k.c.Assert(err, qt.IsNil)
-	h.file = filepath.Join(k.dir, fmt.Sprintf("entry-%d-%s.json", i, h.settings.CallerAddress))
+	h.file = filepath.Join(k.dir, name+"-"+h.settings.CallerAddress+".json")
 	k.c.Assert(os.WriteFile(h.file, data, 0o600), qt.IsNil)
 	h.cmd = exec.Command(binary, "serve", "--settings", h.file)
 	h.cmd.Stderr = h.log
@@ -418,3 +422,12 @@
 	want := k.started() + n
 	k.await("requests to reach servers", func() bool { return k.started() >= want })
 }
+
+// incarnation reads the incarnation of a host from the membership in the store.
+func (k *cluster) incarnation(host chivehillid.HostID) chivehillid.Incarnation {
+	var m chivehillwire.Membership
+	k.c.Assert(json.Unmarshal(k.store.Object(chivehillstore.MembershipObject), &m), qt.IsNil)
+	member, found := chivehillmember.Find(m, host)
+	k.c.Assert(found, qt.IsTrue)
+	return member.Incarnation
+}
--- a/internal/chivehillproc/fault_test.go
+++ b/internal/chivehillproc/fault_test.go
@@ -170,6 +170,43 @@
 	k.awaitAll(func(s chivehillquery.Status) bool { return s.Version == accepted.Version })
 }
 
+// TestStartDuringOutage starts a new host, and a new process of a host that
+// died, while the store is down. Both take the configuration from their peers,
+// which they find by the host list, and serve.
+func TestStartDuringOutage(t *testing.T) {
+	k := newCluster(t, nil)
+	var members []chivehillwire.Member
+	for _, h := range k.hosts {
+		s := h.settings
+		members = append(members, chivehillwire.Member{
+			Host: s.Host, Incarnation: k.incarnation(s.Host), Region: s.Region, FailureDomain: s.FailureDomain,
+			CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress,
+		})
+	}
+	k.list.Set(members)
+	k.store.SetFaults(chivehillstandin.StoreFaults{Down: true})
+	k.hosts[1].signal(k.c, syscall.SIGKILL)
+	<-k.hosts[1].exited
+	started := []*hostProc{k.startHost("entry-9", 0), k.startHost("entry-1", 1)}
+	for _, h := range started {
+		k.await("the configuration at "+string(h.settings.Host), func() bool {
+			s, err := h.status()
+			return err == nil && s.Version == 1 && s.MayServe
+		})
+		k.await("an answer through "+string(h.settings.Host), func() bool {
+			resp, err := http.Get("http://" + h.settings.CallerAddress + "/tables/x")
+			if err != nil {
+				return false
+			}
+			defer func() { _ = resp.Body.Close() }()
+			return resp.StatusCode == http.StatusOK
+		})
+	}
+	k.store.SetFaults(chivehillstandin.StoreFaults{})
+	k.awaitMembers(len(domains) + 1)
+	k.judge(k.load(chivehillstandin.LoadOptions{Lookups: 200, Runs: 100, Callers: 8}))
+}
+
 // TestRefusals brings refusals about and checks outcome, reason and status.
 func TestRefusals(t *testing.T) {
 	k := newCluster(t, nil)
--- a/internal/chivehillwire/wire.go
+++ b/internal/chivehillwire/wire.go
@@ -338,6 +338,9 @@
 	// Load corresponds to the JSON schema field "load".
 	Load *Load `json:"load,omitempty"`
 
+	// Asks for the receiver's load.
+	LoadWanted bool `json:"load-wanted,omitempty"`
+
 	// The pool.
 	Pool chivehillid.PoolID `json:"pool"`
 
