--- a/internal/chivehillentry/entry_test.go
+++ b/internal/chivehillentry/entry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -61,8 +62,15 @@
 	table   *chivehillkey.Table
 	clock   *chivehillclock.Clock
 	// runs counts the requests that each server took up.
-	runs []*atomic.Int32
-	url  string
+	runs    []*atomic.Int32
+	servers []*httptest.Server
+	url     string
+}
+
+func (h *harness) closeServers() {
+	for _, s := range h.servers {
+		s.Close()
+	}
 }
 
 // newHarness starts an entry with one warm server for each handler.
@@ -77,6 +85,7 @@
 			runs.Add(1)
 			handle(w, r)
 		}))
+		h.servers = append(h.servers, server)
 		h.c.Cleanup(server.Close)
 		id := chivehillid.ServerID(fmt.Sprintf("s%d", i))
 		pool.Servers = append(pool.Servers, chivehillwire.ServerSpec{Server: id, Address: strings.TrimPrefix(server.URL, "http://"), FailureDomain: "east-a", Slots: 4})
@@ -356,3 +365,48 @@
 		slot.Release(chivehillbalance.Good, 1, false)
 	}
 }
+
+// TestRareRefusals brings about refusals that need a special situation.
+func TestRareRefusals(t *testing.T) {
+	large := func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, keyedBytes+1)) }
+	tests := []struct {
+		name    string
+		path    string
+		server  http.HandlerFunc
+		change  func(*harness)
+		outcome string
+		reason  string
+	}{
+		{"no connection", "/read", fine, func(h *harness) { h.closeServers() }, "not-run", "server-unreachable"},
+		{"no connection for a write", "/write", fine, func(h *harness) { h.closeServers() }, "not-run", "server-unreachable"},
+		{"answer too large", "/write", large, func(*harness) {}, "done", "answer-too-large"},
+		{"stopping", "/write", fine, func(h *harness) { h.table.Stop() }, "not-run", "stopping"},
+		{"silent beyond the deadline", "/read", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, func(*harness) {}, "unknown", "server-silent"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, budgets, tt.server)
+			tt.change(h)
+			a := h.get(tt.path, h.table.Prefix(h.clock.Now())+"k")
+			h.c.Check(a.outcome, qt.Equals, tt.outcome)
+			h.c.Check(a.reason, qt.Equals, tt.reason)
+		})
+	}
+}
+
+// TestBodyUnreadable lets the caller's body break off. The key is then spent.
+func TestBodyUnreadable(t *testing.T) {
+	h := newHarness(t, budgets, fine)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
+	h.c.Assert(err, qt.IsNil)
+	key := h.table.Prefix(h.clock.Now()) + "k"
+	_, err = fmt.Fprintf(conn, "POST /write HTTP/1.1\r\nHost: x\r\n%s: %s\r\nContent-Length: 100\r\n\r\nhalf", chivehillheader.Key, key)
+	h.c.Assert(err, qt.IsNil)
+	_ = conn.Close()
+	refused := h.entry.Metrics.Refusals.WithLabelValues("body-unreadable", "not-run")
+	for testutil.ToFloat64(refused) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	h.c.Check(h.total(), qt.Equals, 0)
+	h.c.Check(h.get("/write", key).reason, qt.Equals, "key-mismatch")
+}
--- a/internal/chivehillnode/node.go
+++ b/internal/chivehillnode/node.go
@@ -94,7 +94,7 @@
 	cancel context.CancelFunc
 }
 
-// New assembles a node. Start starts it.
+// New assembles a node. Run runs it.
 func New(s chivehillwire.Settings, log zerolog.Logger) (*Node, error) {
 	raw := make([]byte, incarnationBytes)
 	if _, err := rand.Read(raw); err != nil {
