--- a/internal/chivehillentry/keyed.go
+++ b/internal/chivehillentry/keyed.go
@@ -15,7 +15,6 @@
 	"github.com/chivehill/chivehill/internal/chivehillinvariant"
 	"github.com/chivehill/chivehill/internal/chivehillkey"
 	"github.com/chivehill/chivehill/internal/chivehillreason"
-	"github.com/chivehill/chivehill/internal/chivehillregion"
 )
 
 // lateAnswer is the time after the deadline for which the answer to a
@@ -212,7 +211,7 @@
 // forward passes a request on to the host that owns its key. Only that host's
 // own word counts; its silence is an unknown outcome.
 func (e *Entry) forward(w http.ResponseWriter, r *http.Request, c *call, t chivehilldispatch.Target) {
-	chivehillinvariant.Assert(allows(c.regions, t), chivehillinvariant.HomeRegion, "request bound elsewhere is forwarded to %s", t.Name)
+	chivehillinvariant.Assert(c.regions.Allows(t.Region), chivehillinvariant.HomeRegion, "request bound elsewhere is forwarded to %s", t.Name)
 	ctx, cancel := e.callContext(r.Context(), c.deadline)
 	defer cancel()
 	c.request.Header = r.Header.Clone()
@@ -250,7 +249,3 @@
 	w.WriteHeader(resp.Status)
 	_, _ = w.Write(resp.Body)
 }
-
-func allows(regions chivehillregion.Set, t chivehilldispatch.Target) bool {
-	return regions.Allows(t.Region)
-}
