feat: a gateway that takes its servers from the platform's store, thin path

The slots of chivehill serve need servers and hosts that speak its own protocol; a gateway asks servers right before it chooses.

--- /dev/null
+++ b/cmd/chivehill/gateway.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chivehill/chivehill/internal/chivehillhost"
+	"github.com/chivehill/chivehill/internal/chivehilllog"
+	"github.com/chivehill/chivehill/internal/chivehillsettings"
+	chivehillplatform "github.com/chivehill/chivehill/platform"
+)
+
+// gatewayCmd runs a host that takes its servers from the platform's store,
+// until SIGTERM or SIGINT, then stops gracefully.
+type gatewayCmd struct {
+	Settings string `required:"" type:"existingfile" env:"CHIVEHILL_SETTINGS" help:"Settings file (JSON)."`
+}
+
+// Run implements the command.
+func (c *gatewayCmd) Run() error {
+	settings, err := chivehillsettings.LoadGateway(c.Settings)
+	if err != nil {
+		return usageError{err}
+	}
+	level, err := zerolog.ParseLevel(settings.LogLevel)
+	if err != nil {
+		return usageError{fmt.Errorf("log level: %w", err)}
+	}
+	log, sink := chivehilllog.New(os.Stdout, level, func(int) {})
+	defer func() { _ = sink.Close() }()
+	log = log.With().Str("host", string(settings.Host)).Logger()
+	host, err := chivehillhost.New(settings, newPlatform(settings.StoreAddress), log)
+	if err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	debug.SetGCPercent(gcPercent)
+	signal.Ignore(syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return host.Run(ctx)
+}
+
+// Keep-alive of connections to the store: one whose peer is gone ends within
+// about two seconds.
+const (
+	storeKeepAliveIdle     = time.Second
+	storeKeepAliveInterval = 500 * time.Millisecond
+	storeKeepAliveCount    = 2
+	storeDialTimeout       = time.Second
+	storeIdleConnections   = 8
+)
+
+func newPlatform(storeAddress string) chivehillhost.Platform {
+	dialer := net.Dialer{Timeout: storeDialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: storeKeepAliveIdle, Interval: storeKeepAliveInterval, Count: storeKeepAliveCount,
+	}}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: storeIdleConnections}
+	return chivehillhost.Platform{
+		Store:   chivehillplatform.NewStore(storeAddress, transport),
+		Decoder: chivehillplatform.Decoder{},
+		Dialect: chivehillplatform.Dialect{},
+		Directory: func(resolve chivehillhost.Resolve) http.Handler {
+			return chivehillplatform.ResolveHandler(resolve)
+		},
+		Ready: chivehillplatform.ReadyHandler,
+	}
+}
--- a/cmd/chivehill/main.go
+++ b/cmd/chivehill/main.go
@@ -18,6 +18,7 @@
 // cli is the command line.
 type cli struct {
 	Serve      serveCmd      `cmd:"" help:"Run an entry host."`
+	Gateway    gatewayCmd    `cmd:"" help:"Run a host that takes its servers from the platform's store."`
 	Check      checkCmd      `cmd:"" help:"Check a settings file without starting."`
 	Jsonschema jsonschemaCmd `cmd:"" help:"Print the JSON Schema of settings or release notes."`
 	Note       noteCmd       `cmd:"" help:"Check, apply and show release notes."`
--- a/internal/chivehillbudget/bucket.go
+++ b/internal/chivehillbudget/bucket.go
@@ -113,3 +113,11 @@
 	s.tokens--
 	return true
 }
+
+// SetBurst changes the most tokens held.
+func (s *Share) SetBurst(burst float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.burst = burst
+	s.tokens = min(s.tokens, burst)
+}
--- /dev/null
+++ b/internal/chivehillfeed/follow.go
@@ -0,0 +1,188 @@
+package chivehillfeed
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/chivehill/chivehill/internal/chivehillcatalog"
+	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillmetrics"
+)
+
+const (
+	// listTimeout bounds a list.
+	listTimeout = 2 * chivehillclock.Second
+	// confirmWait is how long a watch of the configuration waits. Its end shows
+	// that the store still answers.
+	confirmWait = 1500 * chivehillclock.Millisecond
+	// longWait is how long the other watches wait.
+	longWait = 20 * chivehillclock.Second
+	// answerSlack is how much longer than asked a watch may take.
+	answerSlack = chivehillclock.Second
+	// minPause and maxPause bound the pause after a failed call.
+	minPause = 50 * time.Millisecond
+	maxPause = 500 * time.Millisecond
+)
+
+// Follower follows the store with a watch for each collection. It is safe for
+// concurrent use.
+type Follower struct {
+	Store   Store
+	Catalog *chivehillcatalog.Catalog
+	Clock   *chivehillclock.Clock
+	Metrics *chivehillmetrics.Gateway
+	Log     zerolog.Logger
+	// Fresh is called with what was new in an update, in order within a collection.
+	Fresh func(chivehillcatalog.Collection, chivehillcatalog.Update)
+
+	mu sync.Mutex
+	// contactAt is the start of the last call that the store answered.
+	contactAt chivehillclock.Millis
+	contacted bool
+	lost      bool
+	// restart ends the watches that wait, since the connections seem to be mute.
+	restart map[chivehillcatalog.Collection]context.CancelFunc
+}
+
+// Run follows all collections until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var tasks conc.WaitGroup
+	for _, c := range chivehillcatalog.Collections {
+		tasks.Go(func() { f.follow(ctx, c) })
+	}
+	tasks.Wait()
+}
+
+// Contact returns the start of the last call that the store answered.
+func (f *Follower) Contact() (at chivehillclock.Millis, ever bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.contactAt, f.contacted
+}
+
+func (f *Follower) follow(ctx context.Context, c chivehillcatalog.Collection) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = minPause, maxPause
+	list := true
+	for ctx.Err() == nil {
+		err := f.step(ctx, c, list)
+		switch {
+		case err == nil:
+			list = false
+			pause.Reset()
+			continue
+		case errors.Is(err, ErrHistoryGone):
+			list = true
+			f.Log.Info().Str("collection", string(c)).Msg("feed: history is gone, listing anew.")
+			continue
+		case errors.Is(err, context.Canceled) && ctx.Err() == nil:
+			// The watch was ended because the store answers on no connection.
+			list = true
+		}
+		f.failed(c, err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause.NextBackOff()):
+		}
+	}
+}
+
+// step lists or watches once.
+func (f *Follower) step(ctx context.Context, c chivehillcatalog.Collection, list bool) error {
+	since := f.Catalog.AsOf(c)
+	if list || since == 0 {
+		return f.list(ctx, c)
+	}
+	wait := longWait
+	if c == chivehillcatalog.Configurations {
+		wait = confirmWait
+	}
+	started := f.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, (wait + answerSlack).Duration())
+	defer cancel()
+	f.setRestart(c, cancel)
+	update, err := f.Store.Watch(ctx, c, since, wait)
+	f.count("watch", err)
+	if err != nil {
+		return err
+	}
+	f.answered(started, c)
+	f.apply(c, update)
+	return nil
+}
+
+func (f *Follower) list(ctx context.Context, c chivehillcatalog.Collection) error {
+	started := f.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, listTimeout.Duration())
+	defer cancel()
+	update, err := f.Store.List(ctx, c)
+	f.count("list", err)
+	if err != nil {
+		return err
+	}
+	f.answered(started, c)
+	f.apply(c, update)
+	return nil
+}
+
+func (f *Follower) apply(c chivehillcatalog.Collection, u chivehillcatalog.Update) {
+	fresh := f.Catalog.Apply(c, u)
+	if f.Fresh != nil {
+		f.Fresh(c, fresh)
+	}
+}
+
+func (f *Follower) count(operation string, err error) {
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	f.Metrics.StoreCalls.WithLabelValues(operation, result).Inc()
+}
+
+func (f *Follower) setRestart(c chivehillcatalog.Collection, cancel context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.restart == nil {
+		f.restart = make(map[chivehillcatalog.Collection]context.CancelFunc)
+	}
+	f.restart[c] = cancel
+}
+
+// answered records that the store answered a call.
+func (f *Follower) answered(started chivehillclock.Millis, c chivehillcatalog.Collection) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.contactAt = max(f.contactAt, started)
+	f.contacted = true
+	if f.lost {
+		f.lost = false
+		f.Log.Info().Str("peer", "store").Str("collection", string(c)).Msg("feed: store regained.")
+	}
+}
+
+// failed records that a call failed. If the watch that is sure to end did not,
+// the other watches are begun anew: their connections may be mute as well.
+func (f *Follower) failed(c chivehillcatalog.Collection, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.lost {
+		f.lost = true
+		f.Log.Warn().Str("peer", "store").Str("collection", string(c)).Float64("contact-age-ms", float64(f.Clock.Now()-f.contactAt)).
+			Err(err).Msg("feed: store lost.")
+	}
+	if c != chivehillcatalog.Configurations {
+		return
+	}
+	for other, cancel := range f.restart {
+		if other != c {
+			cancel()
+		}
+	}
+}
--- /dev/null
+++ b/internal/chivehillhost/host.go
@@ -0,0 +1,221 @@
+// Package chivehillhost assembles a host that takes its configuration, its
+// servers and the other hosts from the platform's store.
+package chivehillhost
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/chivehill/chivehill/internal/chivehillcatalog"
+	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehilldirectory"
+	"github.com/chivehill/chivehill/internal/chivehillfeed"
+	"github.com/chivehill/chivehill/internal/chivehillfront"
+	"github.com/chivehill/chivehill/internal/chivehillgateway"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillmetrics"
+	"github.com/chivehill/chivehill/internal/chivehillplace"
+	"github.com/chivehill/chivehill/internal/chivehillwire"
+)
+
+// Resolve names the hosts that a caller should use.
+type Resolve = func(chivehilldirectory.Query) (addresses []string, keep chivehillclock.Millis)
+
+// Platform is what the host needs of the platform it runs on.
+type Platform struct {
+	Store   chivehillfeed.Store
+	Decoder chivehillcatalog.Decoder
+	Dialect chivehillgateway.Dialect
+	// Directory returns the handler of callers that ask which hosts to use.
+	Directory func(Resolve) http.Handler
+	// Ready returns the handler that tells readiness.
+	Ready func(ready func() bool) http.Handler
+}
+
+const (
+	incarnationBytes = 8
+	// sweepPeriod is the time between two looks for connections to close.
+	sweepPeriod = chivehillclock.Second
+	// keepAnswer is the time for which callers keep the list of hosts.
+	keepAnswer = 2 * chivehillclock.Second
+	// bufferedPart is the part of the memory that request bodies may take.
+	bufferedPart = 0.25
+	bytesPerMB   = 1 << 20
+	// serviceTimeout bounds calls of the directory, of readiness and of metrics.
+	serviceTimeout = 5 * time.Second
+)
+
+// Host is one host.
+type Host struct {
+	settings chivehillwire.GatewaySettings
+	self     chivehillcatalog.Host
+	platform Platform
+	clock    *chivehillclock.Clock
+	log      zerolog.Logger
+	metrics  *chivehillmetrics.Gateway
+
+	catalog  *chivehillcatalog.Catalog
+	follower *chivehillfeed.Follower
+	table    *chivehillplace.Table
+	servers  *chivehillgateway.Servers
+	budget   *chivehillgateway.RetryBudget
+	front    *chivehillfront.Server
+
+	leaving atomic.Bool
+	tasks   conc.WaitGroup
+}
+
+// New assembles a host. Run runs it.
+func New(s chivehillwire.GatewaySettings, p Platform, log zerolog.Logger) (*Host, error) {
+	raw := make([]byte, incarnationBytes)
+	if _, err := rand.Read(raw); err != nil {
+		return nil, fmt.Errorf("draw incarnation: %w", err)
+	}
+	h := &Host{
+		settings: s, platform: p, clock: chivehillclock.New(), log: log, metrics: chivehillmetrics.NewGateway(),
+		self: chivehillcatalog.Host{
+			ID: s.Host, Incarnation: chivehillid.Incarnation(hex.EncodeToString(raw)), Region: s.Region, Domain: s.FailureDomain,
+			CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, PeerAddress: s.PeerAddress,
+		},
+	}
+	place := chivehillplace.Place{Domain: s.FailureDomain, Region: s.Region, Regions: s.Domains}
+	h.table = chivehillplace.NewTable(place, h.clock, h.responsible, log)
+	h.catalog = chivehillcatalog.New(chivehillcatalog.Options{Decoder: p.Decoder, Log: log, Changed: h.changed})
+	h.follower = &chivehillfeed.Follower{Store: p.Store, Catalog: h.catalog, Clock: h.clock, Metrics: h.metrics, Log: log}
+	h.servers = chivehillgateway.NewServers(p.Dialect)
+	h.budget = chivehillgateway.NewRetryBudget(s.Bounds.RetryRatio, s.Bounds.RetrySlack, 1)
+	gateway := chivehillgateway.New(chivehillgateway.Options{
+		Beliefs: h, Table: h.table, Servers: h.servers, Budget: h.budget, Dialect: p.Dialect, Clock: h.clock, Metrics: h.metrics, Log: log,
+	})
+	h.front = &chivehillfront.Server{
+		Handler: gateway, Limits: h.limits, Clock: h.clock, Log: log, MaxBuffered: int64(s.MemoryMb * bytesPerMB * bufferedPart),
+	}
+	return h, nil
+}
+
+// Run serves until ctx ends and then stops gracefully.
+func (h *Host) Run(ctx context.Context) error {
+	s := h.settings
+	listeners, err := listen(s.CallerAddress, s.ReadyAddress, s.DirectoryAddress, s.MetricsAddress)
+	if err != nil {
+		return err
+	}
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	h.tasks.Go(func() { h.follower.Run(work) })
+	h.tasks.Go(func() { h.keepRegistered(work) })
+	h.tasks.Go(func() { h.sweep(work) })
+	h.tasks.Go(func() { _ = h.front.Serve(listeners[0]) })
+	services := []*http.Server{
+		h.service(h.platform.Ready(h.ready)),
+		h.service(h.platform.Directory(h.resolve)),
+		h.service(promhttp.HandlerFor(h.metrics.Registry, promhttp.HandlerOpts{})),
+	}
+	for i, e := range services {
+		h.tasks.Go(func() { h.serve(e, listeners[i+1]) })
+	}
+	h.log.Info().Str("incarnation", string(h.self.Incarnation)).Str("domain", string(h.self.Domain)).Msg("host: started.")
+	<-ctx.Done()
+	h.stop(listeners[0])
+	cancel()
+	for _, e := range services {
+		_ = e.Close()
+	}
+	h.tasks.Wait()
+	h.log.Info().Msg("host: stopped.")
+	return nil
+}
+
+func listen(addresses ...string) ([]net.Listener, error) {
+	var config net.ListenConfig
+	var listeners []net.Listener
+	for _, a := range addresses {
+		l, err := config.Listen(context.Background(), "tcp", a)
+		if err != nil {
+			for _, open := range listeners {
+				_ = open.Close()
+			}
+			return nil, fmt.Errorf("listen on %s: %w", a, err)
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
+func (h *Host) service(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: serviceTimeout, ReadTimeout: serviceTimeout}
+}
+
+func (h *Host) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		h.log.Error().Str("step", "serve").Str("address", l.Addr().String()).Err(err).Msg("host: listener failed.")
+	}
+}
+
+// View implements chivehillgateway.Beliefs.
+func (h *Host) View() chivehillcatalog.View { return h.catalog.View() }
+
+// Confirmed implements chivehillgateway.Beliefs.
+func (h *Host) Confirmed() bool {
+	at, ever := h.follower.Contact()
+	return ever && h.clock.Now()-at < seconds(h.settings.Bounds.ConfigurationSeconds)+confirmSlack
+}
+
+// confirmSlack is how much older than the bound a confirmed configuration may be.
+const confirmSlack = chivehillclock.Second
+
+func seconds(s float64) chivehillclock.Millis {
+	return chivehillclock.Millis(s) * chivehillclock.Second
+}
+
+// defaultLimits hold while no configuration is known.
+var defaultLimits = chivehillcatalog.Limits{
+	HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * chivehillclock.Second, IdleTimeout: 15 * chivehillclock.Second,
+}
+
+func (h *Host) limits() chivehillcatalog.Limits {
+	configuration := h.catalog.View().Configuration
+	limits := configuration.Limits
+	if limits.HeaderBytes <= 0 || limits.BodyBytes <= 0 || limits.HeaderTimeout <= 0 || limits.IdleTimeout <= 0 {
+		return defaultLimits
+	}
+	return limits
+}
+
+// changed puts what is new in the catalog in force.
+func (h *Host) changed(c chivehillcatalog.Collection) {
+	view := h.catalog.View()
+	switch c {
+	case chivehillcatalog.Configurations:
+		h.metrics.Version.Set(float64(view.Configuration.Version))
+		h.table.Sync(view)
+	case chivehillcatalog.Servers, chivehillcatalog.Withdrawals:
+		h.table.Sync(view)
+	case chivehillcatalog.Hosts:
+		h.budget.SetHosts(len(view.Hosts))
+	}
+}
+
+func (h *Host) sweep(ctx context.Context) {
+	t := time.NewTicker(sweepPeriod.Duration())
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			h.servers.Keep(h.catalog.View().Servers)
+		}
+	}
+}
--- /dev/null
+++ b/internal/chivehillhost/member.go
@@ -0,0 +1,96 @@
+package chivehillhost
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chivehill/chivehill/internal/chivehillcatalog"
+	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehilldirectory"
+)
+
+const (
+	// registerPause is the time between two checks that this host is registered.
+	registerPause = 500 * time.Millisecond
+	// registerTimeout bounds one write of the entry.
+	registerTimeout = 2 * time.Second
+)
+
+// keepRegistered keeps the entry of this host in the store until it leaves.
+func (h *Host) keepRegistered(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !h.leaving.Load() && !h.registered() {
+			h.register(ctx)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(registerPause):
+		}
+	}
+}
+
+func (h *Host) registered() bool {
+	e, found := h.catalog.View().Hosts[h.self.ID]
+	return found && e == h.self
+}
+
+func (h *Host) register(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	if err := h.platform.Store.PutHost(ctx, h.self); err != nil && ctx.Err() == nil {
+		h.log.Warn().Str("step", "register").Str("peer", "store").Err(err).Msg("host: not registered.")
+	}
+}
+
+// live returns the hosts that callers may be sent to.
+func (h *Host) live() []chivehillcatalog.Host {
+	var hosts []chivehillcatalog.Host
+	for _, e := range h.catalog.View().Hosts {
+		if e.ID != h.self.ID {
+			hosts = append(hosts, e)
+		}
+	}
+	if h.ready() {
+		hosts = append(hosts, h.self)
+	}
+	return hosts
+}
+
+// ready reports whether this host can serve callers.
+func (h *Host) ready() bool {
+	view := h.catalog.View()
+	return !h.leaving.Load() && view.Configuration.Version > 0 && view.ServersKnown && view.WithdrawnKnown
+}
+
+func (h *Host) resolve(q chivehilldirectory.Query) (addresses []string, keep chivehillclock.Millis) {
+	chosen := chivehilldirectory.Choose(q, h.live(), h.catalog.View().RoutesOf(q.Hostname))
+	for _, e := range chosen {
+		addresses = append(addresses, e.CallerAddress)
+	}
+	return addresses, min(keepAnswer, seconds(h.settings.Bounds.AnswerKeepSeconds))
+}
+
+// responsible reports whether this host is the one that sends to a server while
+// it is cold: the live host of the server's failure domain, else of its region,
+// else of all, with the highest hash of both names.
+func (h *Host) responsible(s chivehillcatalog.Server) bool {
+	region := h.settings.Domains[s.Domain]
+	var best chivehillcatalog.Host
+	bestRank, bestHash := -1, uint64(0)
+	for _, e := range h.live() {
+		rank := 0
+		switch {
+		case e.Domain == s.Domain:
+			rank = 2
+		case e.Region == region:
+			rank = 1
+		}
+		hash := xxhash.Sum64String(string(s.ID) + "/" + string(e.ID))
+		if rank > bestRank || rank == bestRank && hash > bestHash {
+			best, bestRank, bestHash = e, rank, hash
+		}
+	}
+	return best.ID == h.self.ID
+}
--- a/internal/chivehillid/id.go
+++ b/internal/chivehillid/id.go
@@ -26,6 +26,9 @@
 // ServiceID names a service.
 type ServiceID string
 
+// RequestID identifies one attempt of a caller. The caller chooses it.
+type RequestID string
+
 // TenantID names a tenant, the caller on whose behalf a request is sent.
 type TenantID string
 
--- /dev/null
+++ b/internal/chivehillplace/table.go
@@ -0,0 +1,225 @@
+package chivehillplace
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chivehill/chivehill/internal/chivehillcatalog"
+	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillregion"
+	"github.com/chivehill/chivehill/internal/chivehillupstream"
+)
+
+const (
+	// loadKeep is the time for which a load report helps to rank servers.
+	loadKeep = 150 * chivehillclock.Millisecond
+	// coldShare is the part of a cold server's rate that one host uses, so that
+	// two hosts that both feel responsible stay within the bound.
+	coldShare = 0.9
+	// coldBurst is the most requests that a cold server gets at once.
+	coldBurst = 1
+	// refusedPenalty ranks a server that refused lately behind the others.
+	refusedPenalty = 100
+)
+
+// Place is where this host stands and what surrounds it.
+type Place struct {
+	Domain chivehillid.DomainID
+	Region chivehillid.RegionID
+	// Regions maps each failure domain to its region.
+	Regions map[chivehillid.DomainID]chivehillid.RegionID
+}
+
+// Responsible reports whether this host is the one that may send to a cold server.
+type Responsible func(chivehillcatalog.Server) bool
+
+// Table knows the servers. It is safe for concurrent use; each server has its own lock.
+type Table struct {
+	place       Place
+	clock       *chivehillclock.Clock
+	responsible Responsible
+	log         zerolog.Logger
+
+	mu      sync.RWMutex
+	servers map[chivehillid.ServerID]*state
+	// byService is replaced with servers.
+	byService map[chivehillid.ServiceID][]*state
+	withdrawn map[chivehillid.DomainID]bool
+	services  map[chivehillid.ServiceID]chivehillcatalog.Service
+	// started is set after the first complete list of servers.
+	started bool
+}
+
+// NewTable returns a table without servers.
+func NewTable(place Place, clock *chivehillclock.Clock, responsible Responsible, log zerolog.Logger) *Table {
+	return &Table{place: place, clock: clock, responsible: responsible, log: log, servers: make(map[chivehillid.ServerID]*state)}
+}
+
+// Sync takes over the servers, withdrawals and services of a view.
+func (t *Table) Sync(v chivehillcatalog.View) {
+	now := t.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	servers := make(map[chivehillid.ServerID]*state, len(v.Servers))
+	byService := make(map[chivehillid.ServiceID][]*state)
+	for id, e := range v.Servers {
+		s := t.servers[id]
+		if s == nil {
+			s = t.newState(now, e)
+		}
+		s.update(now, e, t.withdrawn[e.Domain] && !v.Withdrawn[e.Domain])
+		servers[id] = s
+		byService[e.Service] = append(byService[e.Service], s)
+	}
+	t.servers, t.byService = servers, byService
+	t.withdrawn, t.services = v.Withdrawn, v.Configuration.Services
+	t.started = t.started || v.ServersKnown
+}
+
+// newState describes a server that was not known. One that appears while the
+// host runs has just started.
+func (t *Table) newState(now chivehillclock.Millis, e chivehillcatalog.Server) *state {
+	return &state{entry: e, doubtful: true, coldUntil: now + e.ColdLeft, coldRefillAt: now, coldTokens: coldBurst}
+}
+
+// update takes a new entry over. returned is set if the failure domain of the
+// server came back: its servers may have become cold meanwhile.
+func (s *state) update(now chivehillclock.Millis, e chivehillcatalog.Server, returned bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	restarted := e.Started != s.entry.Started || e.Address != s.entry.Address
+	if restarted || returned {
+		s.doubtful = true
+	}
+	if e.ColdLeft > 0 && e != s.entry {
+		s.coldUntil = max(s.coldUntil, now+e.ColdLeft)
+	}
+	s.entry = e
+}
+
+// Need is what a request needs of a server.
+type Need struct {
+	Service chivehillid.ServiceID
+	Regions chivehillregion.Set
+	// Used servers are left out.
+	Used []chivehillid.ServerID
+}
+
+// Candidates returns the servers that may get a request, the ones to ask first
+// in front: by distance, then by what is known of their load.
+func (t *Table) Candidates(need Need) []Candidate {
+	now := t.clock.Now()
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var candidates []Candidate
+	for _, s := range t.byService[need.Service] {
+		if c, ok := t.candidate(now, s, need); ok {
+			candidates = append(candidates, c)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b Candidate) int {
+		if a.Distance != b.Distance {
+			return cmp.Compare(a.Distance, b.Distance)
+		}
+		return cmp.Compare(a.score, b.score)
+	})
+	return candidates
+}
+
+func (t *Table) candidate(now chivehillclock.Millis, s *state, need Need) (Candidate, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entry
+	region, known := t.place.Regions[e.Domain]
+	if e.Draining || t.withdrawn[e.Domain] || !known || !need.Regions.Allows(region) || now < s.asideUntil {
+		return Candidate{}, false
+	}
+	if slices.Contains(need.Used, e.ID) {
+		return Candidate{}, false
+	}
+	cold := now < s.coldUntil
+	if cold && !t.mayWarm(now, s) {
+		return Candidate{}, false
+	}
+	return Candidate{Server: e, Distance: t.distance(e.Domain, region), Cold: cold, Doubtful: s.doubtful, score: s.score(now)}, true
+}
+
+// mayWarm reports whether this host may send to a cold server now. The caller
+// holds the lock of the server.
+func (t *Table) mayWarm(now chivehillclock.Millis, s *state) bool {
+	if !t.responsible(s.entry) {
+		return false
+	}
+	s.refill(now, coldShare*t.services[s.entry.Service].ColdPerSecond, coldBurst)
+	return s.coldTokens >= 1
+}
+
+func (t *Table) distance(d chivehillid.DomainID, r chivehillid.RegionID) Distance {
+	switch {
+	case d == t.place.Domain:
+		return SameDomain
+	case r == t.place.Region:
+		return SameRegion
+	}
+	return OtherRegion
+}
+
+// score ranks a server by its own load and what it said lately. Equal servers
+// are in random order.
+func (s *state) score(now chivehillclock.Millis) float64 {
+	score := float64(s.running) + rand.Float64()
+	if s.hasLoad && now-s.loadAt < loadKeep {
+		score += Estimate(s.load) - 1
+	}
+	if now < s.refusedUntil {
+		score += refusedPenalty
+	}
+	return score
+}
+
+func (t *Table) get(id chivehillid.ServerID) *state {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.servers[id]
+}
+
+// Claim reports whether a request may be sent to a server right now and counts
+// it. Released ends it.
+func (t *Table) Claim(c Candidate) bool {
+	now := t.clock.Now()
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	s := t.servers[c.ID()]
+	if s == nil || t.withdrawn[c.Server.Domain] {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.entry.Draining || s.entry.Service != c.Server.Service {
+		return false
+	}
+	if s.isCold(now) {
+		if !t.mayWarm(now, s) {
+			return false
+		}
+		s.coldTokens--
+	}
+	s.running++
+	return true
+}
+
+// Recent returns what a server said within age.
+func (t *Table) Recent(id chivehillid.ServerID, age chivehillclock.Millis) (chivehillupstream.Load, bool) {
+	s := t.get(id)
+	if s == nil {
+		return chivehillupstream.Load{}, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.load, s.hasLoad && t.clock.Now()-s.loadAt <= age
+}
--- a/internal/chivehillreason/reason.go
+++ b/internal/chivehillreason/reason.go
@@ -49,6 +49,9 @@
 	ServerUnreachable   Reason = "server-unreachable"
 	ServerBroke         Reason = "server-broke"
 	ServerSilent        Reason = "server-silent"
+	ServerMoved         Reason = "server-moved"
+	ServerSpoiled       Reason = "server-spoiled"
+	ServerFailed        Reason = "server-failed"
 	AnswerTooLarge      Reason = "answer-too-large"
 	CallerGone          Reason = "caller-gone"
 	Internal            Reason = "internal"
@@ -59,11 +62,11 @@
 	NoRoute, BadDeadline, BodyTooLarge, BodyUnreadable, KeyMissing, KeyMalformed, KeyMismatch, KeyTableFull,
 	KeyWindowClosed, KeyOwnerGone, KeyOwnerUnreachable, KeyNeverUsed, AnswerNotKept, RegionForbidden, ConfigMissing,
 	ConfigUnconfirmed, Stopping, Suspect, DeadlinePassed, Overload, NoServer, NoIdleSlot, SlotExpired,
-	ServerRefused, ServerUnreachable, ServerBroke, ServerSilent, AnswerTooLarge, CallerGone, Internal,
+	ServerRefused, ServerUnreachable, ServerBroke, ServerSilent, ServerMoved, ServerSpoiled, ServerFailed, AnswerTooLarge, CallerGone, Internal,
 }
 
 // Retries lists the reasons for which a request is tried again.
-var Retries = []Reason{ServerRefused, ServerUnreachable, ServerBroke, SlotExpired}
+var Retries = []Reason{ServerRefused, ServerUnreachable, ServerBroke, ServerMoved, ServerSpoiled, ServerFailed, SlotExpired}
 
 // Status returns the HTTP status of a refusal.
 func Status(o Outcome, r Reason) int {
