--- a/internal/chivehillcatalog/catalog.go
+++ b/internal/chivehillcatalog/catalog.go
@@ -88,13 +88,19 @@
 
 // AsOf returns the revision up to which a collection is complete, 0 if it never was.
 func (c *Catalog) AsOf(name Collection) Revision {
+	asOf, _ := c.State(name)
+	return asOf
+}
+
+// State returns how much is known of a collection. asOf is 0 if it never was complete.
+func (c *Catalog) State(name Collection) (asOf Revision, digest Digest) {
 	s := c.shards[name]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.records.known {
-		return 0
+		return 0, 0
 	}
-	return s.records.asOf
+	return s.records.asOf, s.records.digest
 }
 
 // Snapshot returns a whole collection. Its AsOf is 0 if the collection is not known.
--- a/internal/chivehillcatalog/records.go
+++ b/internal/chivehillcatalog/records.go
@@ -1,6 +1,11 @@
 package chivehillcatalog
 
-import "time"
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // tombstoneKeep is the time for which a removal is remembered, so that a slower
 // source cannot bring the record back.
@@ -15,6 +20,15 @@
 	live  map[string]Record
 	// removed maps a removed record to the revision at which it was gone.
 	removed map[string]tombstone
+	// digest is the exclusive or of the digests of the live records.
+	digest Digest
+}
+
+// Digest tells two states of a collection apart.
+type Digest uint64
+
+func (r Record) digest() Digest {
+	return Digest(xxhash.Sum64String(r.Name + "@" + strconv.FormatUint(uint64(r.Revision), 10)))
 }
 
 type tombstone struct {
@@ -47,6 +61,10 @@
 		if !r.isNews(e) {
 			continue
 		}
+		if old, found := r.live[e.Name]; found {
+			r.digest ^= old.digest()
+		}
+		r.digest ^= e.digest()
 		r.live[e.Name] = e
 		delete(r.removed, e.Name)
 		changes = append(changes, change{record: e})
@@ -78,6 +96,7 @@
 		return changes
 	}
 	delete(r.live, name)
+	r.digest ^= old.digest()
 	r.removed[name] = tombstone{revision: revision, at: now}
 	return append(changes, change{record: old, removed: true})
 }
--- a/internal/chivehillfeed/follow.go
+++ b/internal/chivehillfeed/follow.go
@@ -41,8 +41,13 @@
 	// Fresh is called with what was new in an update, in order within a collection.
 	Fresh func(chivehillcatalog.Collection, chivehillcatalog.Update)
 
+	runMu sync.Mutex
+	// stop ends the watches that run, nil if there are none.
+	stop  context.CancelFunc
+	tasks conc.WaitGroup
+
 	mu sync.Mutex
-	// contactAt is the start of the last call that the store answered.
+	// contactAt is when the store answered last.
 	contactAt chivehillclock.Millis
 	contacted bool
 	lost      bool
@@ -59,7 +64,25 @@
 	tasks.Wait()
 }
 
-// Contact returns the start of the last call that the store answered.
+// Watch begins or ceases to follow the store in the background.
+func (f *Follower) Watch(ctx context.Context, watch bool) {
+	f.runMu.Lock()
+	defer f.runMu.Unlock()
+	if f.stop != nil {
+		f.stop()
+		f.stop = nil
+	}
+	if !watch {
+		return
+	}
+	ctx, f.stop = context.WithCancel(ctx)
+	f.tasks.Go(func() { f.Run(ctx) })
+}
+
+// Wait waits until nothing follows the store any more.
+func (f *Follower) Wait() { f.tasks.Wait() }
+
+// Contact returns when the store answered last.
 func (f *Follower) Contact() (at chivehillclock.Millis, ever bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -103,7 +126,6 @@
 	if c == chivehillcatalog.Configurations {
 		wait = confirmWait
 	}
-	started := f.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, (wait + answerSlack).Duration())
 	defer cancel()
 	f.setRestart(c, cancel)
@@ -112,13 +134,12 @@
 	if err != nil {
 		return err
 	}
-	f.answered(started, c)
+	f.answered(c)
 	f.apply(c, update)
 	return nil
 }
 
 func (f *Follower) list(ctx context.Context, c chivehillcatalog.Collection) error {
-	started := f.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, listTimeout.Duration())
 	defer cancel()
 	update, err := f.Store.List(ctx, c)
@@ -126,7 +147,7 @@
 	if err != nil {
 		return err
 	}
-	f.answered(started, c)
+	f.answered(c)
 	f.apply(c, update)
 	return nil
 }
@@ -156,10 +177,10 @@
 }
 
 // answered records that the store answered a call.
-func (f *Follower) answered(started chivehillclock.Millis, c chivehillcatalog.Collection) {
+func (f *Follower) answered(c chivehillcatalog.Collection) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.contactAt = max(f.contactAt, started)
+	f.contactAt = f.Clock.Now()
 	f.contacted = true
 	if f.lost {
 		f.lost = false
--- a/internal/chivehillhost/host.go
+++ b/internal/chivehillhost/host.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,7 @@
 	"github.com/chivehill/chivehill/internal/chivehillid"
 	"github.com/chivehill/chivehill/internal/chivehillmetrics"
 	"github.com/chivehill/chivehill/internal/chivehillplace"
+	"github.com/chivehill/chivehill/internal/chivehillrelay"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
 )
 
@@ -67,6 +69,10 @@
 
 	catalog  *chivehillcatalog.Catalog
 	follower *chivehillfeed.Follower
+	relay    *chivehillrelay.Relay
+	// watchCtx ends when the host ceases to follow the store for good.
+	watchCtx context.Context
+	unwatch  context.CancelFunc
 	table    *chivehillplace.Table
 	servers  *chivehillgateway.Servers
 	budget   *chivehillgateway.RetryBudget
@@ -92,7 +98,14 @@
 	place := chivehillplace.Place{Domain: s.FailureDomain, Region: s.Region, Regions: s.Domains}
 	h.table = chivehillplace.NewTable(place, h.clock, h.responsible, log)
 	h.catalog = chivehillcatalog.New(chivehillcatalog.Options{Decoder: p.Decoder, Log: log, Changed: h.changed})
+	h.watchCtx, h.unwatch = context.WithCancel(context.Background())
 	h.follower = &chivehillfeed.Follower{Store: p.Store, Catalog: h.catalog, Clock: h.clock, Metrics: h.metrics, Log: log}
+	h.relay = chivehillrelay.New(chivehillrelay.Options{
+		Self: h.self, Seeds: seeds(s.SeedAddresses), Catalog: h.catalog, Clock: h.clock, Log: log, Contact: h.follower.Contact,
+		Watch:   func(watch bool) { h.follower.Watch(h.watchCtx, watch) },
+		Changed: func() {},
+	})
+	h.follower.Fresh = h.relay.Publish
 	h.servers = chivehillgateway.NewServers(p.Dialect)
 	h.budget = chivehillgateway.NewRetryBudget(s.Bounds.RetryRatio, s.Bounds.RetrySlack, 1)
 	gateway := chivehillgateway.New(chivehillgateway.Options{
@@ -107,13 +120,13 @@
 // Run serves until ctx ends and then stops gracefully.
 func (h *Host) Run(ctx context.Context) error {
 	s := h.settings
-	listeners, err := listen(s.CallerAddress, s.ReadyAddress, s.DirectoryAddress, s.MetricsAddress)
+	listeners, err := listen(s.CallerAddress, s.ReadyAddress, s.DirectoryAddress, s.MetricsAddress, s.PeerAddress)
 	if err != nil {
 		return err
 	}
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	h.tasks.Go(func() { h.follower.Run(work) })
+	h.tasks.Go(func() { h.relay.Run(work) })
 	h.tasks.Go(func() { h.keepRegistered(work) })
 	h.tasks.Go(func() { h.sweep(work) })
 	h.tasks.Go(func() { _ = h.front.Serve(listeners[0]) })
@@ -121,6 +134,7 @@
 		h.service(h.platform.Ready(h.ready)),
 		h.service(h.platform.Directory(h.resolve)),
 		h.service(promhttp.HandlerFor(h.metrics.Registry, promhttp.HandlerOpts{})),
+		{Handler: h.relay, ReadHeaderTimeout: serviceTimeout},
 	}
 	for i, e := range services {
 		h.tasks.Go(func() { h.serve(e, listeners[i+1]) })
@@ -128,10 +142,12 @@
 	h.log.Info().Str("incarnation", string(h.self.Incarnation)).Str("domain", string(h.self.Domain)).Msg("host: started.")
 	<-ctx.Done()
 	h.stop(listeners[0])
+	h.unwatch()
 	cancel()
 	for _, e := range services {
 		_ = e.Close()
 	}
+	h.follower.Wait()
 	h.tasks.Wait()
 	h.log.Info().Msg("host: stopped.")
 	return nil
@@ -168,7 +184,7 @@
 
 // Confirmed implements chivehillgateway.Beliefs.
 func (h *Host) Confirmed() bool {
-	at, ever := h.follower.Contact()
+	at, ever := h.relay.Contact()
 	return ever && h.clock.Now()-at < seconds(h.settings.Bounds.ConfigurationSeconds)+confirmSlack
 }
 
@@ -195,18 +211,22 @@
 
 // changed puts what is new in the catalog in force.
 func (h *Host) changed(c chivehillcatalog.Collection) {
-	view := h.catalog.View()
 	switch c {
 	case chivehillcatalog.Configurations:
-		h.metrics.Version.Set(float64(view.Configuration.Version))
-		h.table.Sync(view)
+		h.metrics.Version.Set(float64(h.catalog.View().Configuration.Version))
+		h.table.Sync(h.catalog.View)
 	case chivehillcatalog.Servers, chivehillcatalog.Withdrawals:
-		h.table.Sync(view)
+		h.table.Sync(h.catalog.View)
 	case chivehillcatalog.Hosts:
-		h.budget.SetHosts(len(view.Hosts))
+		h.budget.SetHosts(len(h.catalog.View().Hosts))
 	}
 }
 
+// seeds returns the addresses that are not empty.
+func seeds(addresses []string) []string {
+	return slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return a == "" })
+}
+
 func (h *Host) sweep(ctx context.Context) {
 	t := time.NewTicker(sweepPeriod.Duration())
 	defer t.Stop()
--- a/internal/chivehillhost/member.go
+++ b/internal/chivehillhost/member.go
@@ -48,7 +48,7 @@
 func (h *Host) live() []chivehillcatalog.Host {
 	var hosts []chivehillcatalog.Host
 	for _, e := range h.catalog.View().Hosts {
-		if e.ID != h.self.ID {
+		if e.ID != h.self.ID && !h.relay.Down(e.ID) {
 			hosts = append(hosts, e)
 		}
 	}
--- a/internal/chivehillhost/stop.go
+++ b/internal/chivehillhost/stop.go
@@ -23,6 +23,7 @@
 	grace := seconds(h.settings.Bounds.StopGraceSeconds)
 	h.leaving.Store(true)
 	h.front.Leave()
+	h.relay.Leave()
 	h.log.Info().Float64("grace-ms", float64(grace)).Msg("host: leaving.")
 	h.deregister()
 	time.Sleep((chivehillclock.Millis(acceptPart)*grace - (h.clock.Now() - started)).Duration())
--- a/internal/chivehillplace/table.go
+++ b/internal/chivehillplace/table.go
@@ -60,11 +60,13 @@
 	return &Table{place: place, clock: clock, responsible: responsible, log: log, servers: make(map[chivehillid.ServerID]*state)}
 }
 
-// Sync takes over the servers, withdrawals and services of a view.
-func (t *Table) Sync(v chivehillcatalog.View) {
+// Sync takes over the servers, withdrawals and services of the present view. The
+// view is read under the table's lock, so that an older one cannot follow a newer.
+func (t *Table) Sync(read func() chivehillcatalog.View) {
 	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	v := read()
 	servers := make(map[chivehillid.ServerID]*state, len(v.Servers))
 	byService := make(map[chivehillid.ServiceID][]*state)
 	for id, e := range v.Servers {
--- /dev/null
+++ b/internal/chivehillrelay/relay.go
@@ -0,0 +1,439 @@
+package chivehillrelay
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/chivehill/chivehill/internal/chivehillcatalog"
+	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillwire"
+)
+
+const (
+	tickPeriod = 100 * chivehillclock.Millisecond
+	// beatPeriod is the time between two heartbeats to a peer of the region.
+	beatPeriod = 300 * chivehillclock.Millisecond
+	// farBeatPeriod is the same for a peer of another region.
+	farBeatPeriod = chivehillclock.Second
+	// minRedial and maxRedial bound the pause before a host is dialed again.
+	minRedial = 200 * chivehillclock.Millisecond
+	maxRedial = 2 * chivehillclock.Second
+)
+
+// Options of a relay.
+type Options struct {
+	Self    chivehillcatalog.Host
+	Seeds   []string
+	Catalog *chivehillcatalog.Catalog
+	Clock   *chivehillclock.Clock
+	Log     zerolog.Logger
+	// Contact returns when the store answered this host last.
+	Contact func() (at chivehillclock.Millis, ever bool)
+	// Watch is called when this host has to begin or to cease to watch the store.
+	Watch func(watch bool)
+	// Changed is called when the set of hosts that are down has changed.
+	Changed func()
+}
+
+// Relay is safe for concurrent use.
+type Relay struct {
+	Options
+
+	client *http.Client
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  conc.WaitGroup
+
+	mu       sync.Mutex
+	started  chivehillclock.Millis
+	links    map[hostKey]*link
+	redial   map[string]*redial
+	seenAt   map[chivehillid.HostID]chivehillclock.Millis
+	decision Decision
+	// watching is what Watch was told last.
+	watching      bool
+	watchingSince chivehillclock.Millis
+	leaving       bool
+	lastBeat      chivehillclock.Millis
+	lastFarBeat   chivehillclock.Millis
+}
+
+// redial is when an address may be dialed again.
+type redial struct {
+	at      chivehillclock.Millis
+	pause   chivehillclock.Millis
+	dialing bool
+}
+
+// New returns a relay without peers.
+func New(o Options) *Relay {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Relay{
+		Options: o, ctx: ctx, cancel: cancel, started: o.Clock.Now(), links: make(map[hostKey]*link), redial: make(map[string]*redial),
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		seenAt: make(map[chivehillid.HostID]chivehillclock.Millis),
+	}
+}
+
+// Run decides and beats until ctx ends.
+func (r *Relay) Run(ctx context.Context) {
+	for _, address := range r.Seeds {
+		if address != r.Self.PeerAddress {
+			r.connect(address)
+		}
+	}
+	t := time.NewTicker(tickPeriod.Duration())
+	defer t.Stop()
+	for {
+		r.tick()
+		select {
+		case <-ctx.Done():
+			r.cancel()
+			r.tasks.Wait()
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// Leave tells all peers that this host leaves.
+func (r *Relay) Leave() {
+	r.mu.Lock()
+	r.leaving = true
+	r.mu.Unlock()
+	r.beat(func(*link) bool { return true })
+}
+
+// Down reports whether callers must not be sent to a host.
+func (r *Relay) Down(id chivehillid.HostID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.decision.Down[id]
+}
+
+// Contact returns the newest contact with the store, own or told by a peer.
+func (r *Relay) Contact() (at chivehillclock.Millis, ever bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.situation()
+	return contact(s)
+}
+
+// situation collects what the host knows. The caller holds r.mu.
+func (r *Relay) situation() Situation {
+	now := r.Clock.Now()
+	s := Situation{
+		Now: now, Started: r.started, Self: r.Self, Hosts: r.Catalog.View().Hosts, Peers: make(map[chivehillid.HostID]PeerState),
+		SeenAt: r.seenAt, Watching: r.watching, WatchingSince: r.watchingSince,
+	}
+	s.ContactAt, s.ContactEver = r.Options.Contact()
+	for key, l := range r.links {
+		p := l.state(now)
+		if old, found := s.Peers[key.id]; !found || p.Live && !old.Live || p.Beaten && !old.Beaten {
+			s.Peers[key.id] = p
+		}
+	}
+	for id := range s.Hosts {
+		if _, seen := r.seenAt[id]; !seen {
+			r.seenAt[id] = now
+		}
+		if s.Peers[id].Live {
+			r.seenAt[id] = now
+		}
+	}
+	return s
+}
+
+// tick decides anew and acts on it.
+func (r *Relay) tick() {
+	r.mu.Lock()
+	s := r.situation()
+	d := Decide(s)
+	if r.leaving {
+		d.Watch = r.watching
+	}
+	changed := !sameKeys(r.decision.Down, d.Down)
+	r.decision = d
+	watchChanged := d.Watch != r.watching
+	if watchChanged {
+		r.watching, r.watchingSince = d.Watch, s.Now
+	}
+	r.dropUnneeded(s, d)
+	far := s.Now-r.lastFarBeat >= farBeatPeriod
+	due := s.Now-r.lastBeat >= beatPeriod
+	if due {
+		r.lastBeat = s.Now
+	}
+	if far {
+		r.lastFarBeat = s.Now
+	}
+	r.mu.Unlock()
+	r.act(d, watchChanged, changed)
+	r.beat(func(l *link) bool {
+		if l.host.Region == r.Self.Region {
+			return due
+		}
+		return far
+	})
+}
+
+func (r *Relay) act(d Decision, watchChanged, downChanged bool) {
+	if watchChanged {
+		r.Log.Info().Bool("watch", d.Watch).Float64("contact-age-ms", float64(r.Clock.Now()-d.ContactAt)).Msg("relay: role changed.")
+		r.Watch(d.Watch)
+	}
+	if downChanged {
+		r.Log.Info().Strs("down", names(d.Down)).Msg("relay: hosts out of reach changed.")
+		r.Changed()
+	}
+	for _, h := range d.Dial {
+		r.connect(h.PeerAddress)
+	}
+}
+
+func names(set map[chivehillid.HostID]bool) []string {
+	var list []string
+	for id := range set {
+		list = append(list, string(id))
+	}
+	slices.Sort(list)
+	return list
+}
+
+func sameKeys(a, b map[chivehillid.HostID]bool) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for id := range a {
+		if !b[id] {
+			return false
+		}
+	}
+	return true
+}
+
+// dropUnneeded closes silent connections and those that this host dialed and
+// does not need any more. The caller holds r.mu.
+func (r *Relay) dropUnneeded(s Situation, d Decision) {
+	for key, l := range r.links {
+		p := l.state(s.Now)
+		unneeded := key.dialed && p.Beaten && !d.Keep[key.id] && d.ContactEver && r.informed()
+		if !p.Live || unneeded {
+			go func() { _ = l.conn.CloseNow() }()
+		}
+	}
+}
+
+// informed reports whether every collection is known.
+func (r *Relay) informed() bool {
+	for _, c := range chivehillcatalog.Collections {
+		if r.Catalog.AsOf(c) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// connect dials an address in the background unless it was tried just now.
+func (r *Relay) connect(address string) {
+	now := r.Clock.Now()
+	r.mu.Lock()
+	e := r.redial[address]
+	if e == nil {
+		e = &redial{pause: minRedial}
+		r.redial[address] = e
+	}
+	if e.dialing || now < e.at || r.ctx.Err() != nil {
+		r.mu.Unlock()
+		return
+	}
+	e.dialing = true
+	r.mu.Unlock()
+	r.tasks.Go(func() {
+		l, err := r.dial(r.ctx, address)
+		r.dialed(e, err == nil)
+		if err != nil {
+			r.Log.Info().Str("step", "dial").Str("peer", address).Err(err).Msg("relay: peer not reached.")
+			return
+		}
+		r.use(l)
+	})
+}
+
+func (r *Relay) dialed(e *redial, reached bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e.dialing = false
+	if reached {
+		e.pause = minRedial
+	} else {
+		e.pause = min(maxRedial, 2*e.pause)
+	}
+	e.at = r.Clock.Now() + e.pause
+}
+
+// use runs a connection until it ends.
+func (r *Relay) use(l *link) {
+	key := hostKey{id: l.host.ID, dialed: l.dialed}
+	r.mu.Lock()
+	old := r.links[key]
+	r.links[key] = l
+	r.mu.Unlock()
+	if old != nil {
+		_ = old.conn.CloseNow()
+	}
+	r.Log.Info().Str("peer", string(l.host.ID)).Bool("dialed", l.dialed).Msg("relay: peer connected.")
+	r.addBeat(l)
+	err := l.run(r.ctx)
+	r.mu.Lock()
+	if r.links[key] == l {
+		delete(r.links, key)
+	}
+	r.mu.Unlock()
+	if r.ctx.Err() == nil {
+		r.Log.Info().Str("peer", string(l.host.ID)).Err(err).Msg("relay: peer lost.")
+	}
+}
+
+// beat sends a heartbeat to the peers that pick chooses.
+func (r *Relay) beat(pick func(*link) bool) {
+	for _, l := range r.all() {
+		if pick(l) {
+			r.addBeat(l)
+		}
+	}
+}
+
+func (r *Relay) all() []*link {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	links := make([]*link, 0, len(r.links))
+	for _, l := range r.links {
+		links = append(links, l)
+	}
+	return links
+}
+
+func (r *Relay) addBeat(l *link) {
+	at, ever := r.Contact()
+	b := chivehillwire.RelayBeat{ContactAgeMs: -1}
+	if ever {
+		b.ContactAgeMs = r.Clock.Now() - at
+	}
+	for _, c := range chivehillcatalog.Collections {
+		asOf, digest := r.Catalog.State(c)
+		b.Collections = append(b.Collections, chivehillwire.RelayState{Collection: c, AsOf: asOf, Digest: digest})
+	}
+	r.mu.Lock()
+	b.Watching, b.Leaving = r.watching, r.leaving
+	for id := range r.decision.Down {
+		b.Down = append(b.Down, id)
+	}
+	r.mu.Unlock()
+	l.add(func(m *chivehillwire.RelayMessage) { m.Beat = &b })
+}
+
+// Publish tells news to the peers: the news itself to those that follow this
+// host, and only that there is some to the others.
+func (r *Relay) Publish(c chivehillcatalog.Collection, fresh chivehillcatalog.Update) {
+	if len(fresh.Records) == 0 {
+		return
+	}
+	update := encodeUpdate(c, fresh)
+	for _, l := range r.all() {
+		if l.host.Domain == r.Self.Domain && !l.dialed {
+			l.add(func(m *chivehillwire.RelayMessage) { m.Updates = append(m.Updates, update) })
+		}
+		if l.host.Domain != r.Self.Domain && isUrgent(c) {
+			r.addBeat(l)
+		}
+	}
+}
+
+// isUrgent reports whether news of a collection is told at once across failure domains.
+func isUrgent(c chivehillcatalog.Collection) bool {
+	return c == chivehillcatalog.Configurations || c == chivehillcatalog.Withdrawals
+}
+
+func encodeUpdate(c chivehillcatalog.Collection, u chivehillcatalog.Update) chivehillwire.RelayUpdate {
+	e := chivehillwire.RelayUpdate{Collection: c, Full: u.Full, AsOf: u.AsOf}
+	for _, record := range u.Records {
+		e.Records = append(e.Records, chivehillwire.RelayRecord{
+			Name: record.Name, Revision: record.Revision, Data: record.Data, Deleted: record.Deleted,
+		})
+	}
+	return e
+}
+
+func decodeUpdate(u chivehillwire.RelayUpdate) chivehillcatalog.Update {
+	d := chivehillcatalog.Update{Full: u.Full, AsOf: u.AsOf}
+	for _, e := range u.Records {
+		d.Records = append(d.Records, chivehillcatalog.Record{Name: e.Name, Revision: e.Revision, Data: e.Data, Deleted: e.Deleted})
+	}
+	return d
+}
+
+// receive acts on one message of a peer.
+func (r *Relay) receive(l *link, m chivehillwire.RelayMessage) {
+	for _, u := range m.Updates {
+		if !slices.Contains(chivehillcatalog.Collections, u.Collection) {
+			continue
+		}
+		r.Publish(u.Collection, r.Catalog.Apply(u.Collection, decodeUpdate(u)))
+	}
+	for _, c := range m.Want {
+		r.answerWant(l, c)
+	}
+	if m.Beat != nil {
+		r.catchUp(l, *m.Beat)
+	}
+}
+
+func (r *Relay) answerWant(l *link, c chivehillcatalog.Collection) {
+	if !slices.Contains(chivehillcatalog.Collections, c) {
+		return
+	}
+	snapshot := r.Catalog.Snapshot(c)
+	if snapshot.AsOf == 0 {
+		return
+	}
+	update := encodeUpdate(c, snapshot)
+	l.add(func(m *chivehillwire.RelayMessage) { m.Updates = append(m.Updates, update) })
+}
+
+// catchUp asks a peer for the collections that it knows more of.
+func (r *Relay) catchUp(l *link, b chivehillwire.RelayBeat) {
+	now := r.Clock.Now()
+	var want []chivehillcatalog.Collection
+	for _, e := range b.Collections {
+		if !slices.Contains(chivehillcatalog.Collections, e.Collection) {
+			continue
+		}
+		asOf, digest := r.Catalog.State(e.Collection)
+		behind := e.AsOf > asOf && (e.Digest != digest || asOf == 0)
+		if l.lags(e.Collection, behind, asOf == 0, now) && r.wants(l, e.Collection) {
+			want = append(want, e.Collection)
+		}
+	}
+	if len(want) == 0 {
+		return
+	}
+	l.add(func(m *chivehillwire.RelayMessage) { m.Want = append(m.Want, want...) })
+}
+
+// wants reports whether this host takes a collection from a peer: all from the
+// hosts of its failure domain, and from others what it would not get in time itself.
+func (r *Relay) wants(l *link, c chivehillcatalog.Collection) bool {
+	if l.host.Domain == r.Self.Domain {
+		return true
+	}
+	at, ever := r.Options.Contact()
+	return !ever || isUrgent(c) || r.Clock.Now()-at > silenceTime
+}
--- /dev/null
+++ b/internal/chivehillrelay/roster.go
@@ -0,0 +1,247 @@
+// Package chivehillrelay spreads the news of the store among the hosts: in each
+// failure domain the first reachable host watches the store, the others follow
+// it, and the watching hosts of all failure domains compare what they know.
+// Nobody is elected: each host decides from the hosts it reaches.
+package chivehillrelay
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chivehill/chivehill/internal/chivehillcatalog"
+	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+)
+
+const (
+	// silenceTime is the silence after which a peer counts as gone.
+	silenceTime = 900 * chivehillclock.Millisecond
+	// farSilenceTime is the same for a peer in another region.
+	farSilenceTime = 2500 * chivehillclock.Millisecond
+	// graceTime is how long a host may be without a connection to the watching
+	// host of its failure domain before callers are kept from it.
+	graceTime = 2 * chivehillclock.Second
+	// settleTime is how long a starting host looks for others before it watches
+	// the store itself.
+	settleTime = 300 * chivehillclock.Millisecond
+	// contactTime is the age of the newest contact with the store from which a
+	// host that follows others tries the store itself.
+	contactTime = 2400 * chivehillclock.Millisecond
+	// contactStep is added for each host that tries before this one.
+	contactStep = 400 * chivehillclock.Millisecond
+	// dialsAtOnce is the most hosts of a failure domain dialed side by side.
+	dialsAtOnce = 2
+)
+
+// PeerState is what a host knows of one of its connections.
+type PeerState struct {
+	Host chivehillcatalog.Host
+	// Live is set while the peer is connected and was heard of lately.
+	Live bool
+	// Beaten is set once a heartbeat arrived.
+	Beaten bool
+	// ContactAt is the newest contact of the peer with the store, ContactEver
+	// whether there was one.
+	ContactAt   chivehillclock.Millis
+	ContactEver bool
+	Leaving     bool
+	Down        []chivehillid.HostID
+}
+
+// Situation is what a host decides from.
+type Situation struct {
+	Now     chivehillclock.Millis
+	Started chivehillclock.Millis
+	Self    chivehillcatalog.Host
+	// Hosts are the hosts that the store lists.
+	Hosts map[chivehillid.HostID]chivehillcatalog.Host
+	Peers map[chivehillid.HostID]PeerState
+	// SeenAt is when each host was listed first, or lost its last connection.
+	SeenAt map[chivehillid.HostID]chivehillclock.Millis
+	// WatchingSince is when this host began to watch the store, if it does.
+	WatchingSince chivehillclock.Millis
+	Watching      bool
+	// ContactAt is this host's own newest contact with the store.
+	ContactAt   chivehillclock.Millis
+	ContactEver bool
+}
+
+// order returns the hosts of a failure domain in the order in which they watch.
+func order(domain chivehillid.DomainID, hosts map[chivehillid.HostID]chivehillcatalog.Host) []chivehillcatalog.Host {
+	var listed []chivehillcatalog.Host
+	for _, h := range hosts {
+		if h.Domain == domain {
+			listed = append(listed, h)
+		}
+	}
+	slices.SortFunc(listed, func(a, b chivehillcatalog.Host) int {
+		return cmp.Or(cmp.Compare(rank(a.ID), rank(b.ID)), cmp.Compare(a.ID, b.ID))
+	})
+	return listed
+}
+
+func rank(id chivehillid.HostID) uint64 { return xxhash.Sum64String(string(id)) }
+
+// Decision is what a host does now.
+type Decision struct {
+	// Watch is set if the host watches the store itself.
+	Watch bool
+	// Dial lists the hosts to connect to.
+	Dial []chivehillcatalog.Host
+	// Keep lists the peers whose connections are needed.
+	Keep map[chivehillid.HostID]bool
+	// Down lists the hosts that callers must not be sent to.
+	Down map[chivehillid.HostID]bool
+	// ContactAt is the newest contact with the store, own or told.
+	ContactAt   chivehillclock.Millis
+	ContactEver bool
+}
+
+// Decide decides from what a host knows.
+func Decide(s Situation) Decision {
+	d := Decision{Keep: make(map[chivehillid.HostID]bool)}
+	d.ContactAt, d.ContactEver = contact(s)
+	own := order(s.Self.Domain, s.Hosts)
+	position := slices.IndexFunc(own, func(h chivehillcatalog.Host) bool { return h.ID == s.Self.ID })
+	earlier := own
+	if position >= 0 {
+		earlier = own[:position]
+	}
+	source, found := d.follow(s, earlier)
+	settled := s.Now-s.Started >= settleTime
+	d.Watch = !found && settled || d.tryStore(s, len(earlier))
+	if !found && settled {
+		d.compare(s)
+	}
+	d.Down = down(s, source, found)
+	return d
+}
+
+// contact returns the newest contact with the store, own or told by a peer.
+func contact(s Situation) (at chivehillclock.Millis, ever bool) {
+	at, ever = s.ContactAt, s.ContactEver
+	for _, p := range s.Peers {
+		if p.ContactEver && (!ever || p.ContactAt > at) {
+			at, ever = p.ContactAt, true
+		}
+	}
+	return at, ever
+}
+
+// follow returns the first live host before this one, and dials those before it.
+func (d *Decision) follow(s Situation, earlier []chivehillcatalog.Host) (source PeerState, found bool) {
+	dials := 0
+	for _, h := range earlier {
+		p, connected := s.Peers[h.ID]
+		if connected && p.Live && p.Beaten && !p.Leaving {
+			d.Keep[h.ID] = true
+			return p, true
+		}
+		if dials < dialsAtOnce {
+			d.Dial = append(d.Dial, h)
+			d.Keep[h.ID] = true
+		}
+		dials++
+	}
+	return PeerState{}, false
+}
+
+// tryStore reports whether a host that follows others has to try the store
+// itself: no host that it hears of reaches it. Hosts try one after the other.
+func (d *Decision) tryStore(s Situation, before int) bool {
+	wait := contactTime + chivehillclock.Millis(before)*contactStep
+	if !d.ContactEver {
+		return s.Now-s.Started > settleTime+wait
+	}
+	return s.Now-d.ContactAt > wait
+}
+
+// compare connects a watching host with the first reachable host of each other
+// failure domain.
+func (d *Decision) compare(s Situation) {
+	for _, domain := range otherDomains(s) {
+		d.followDomain(s, order(domain, s.Hosts))
+	}
+}
+
+func (d *Decision) followDomain(s Situation, hosts []chivehillcatalog.Host) {
+	dials := 0
+	for _, h := range hosts {
+		if p, connected := s.Peers[h.ID]; connected && p.Live && !p.Leaving {
+			d.Keep[h.ID] = true
+			return
+		}
+		if dials < dialsAtOnce {
+			d.Dial = append(d.Dial, h)
+			d.Keep[h.ID] = true
+		}
+		dials++
+	}
+}
+
+func otherDomains(s Situation) []chivehillid.DomainID {
+	seen := make(map[chivehillid.DomainID]bool)
+	var domains []chivehillid.DomainID
+	for _, h := range s.Hosts {
+		if h.Domain != s.Self.Domain && !seen[h.Domain] {
+			seen[h.Domain] = true
+			domains = append(domains, h.Domain)
+		}
+	}
+	slices.Sort(domains)
+	return domains
+}
+
+// down returns the hosts that callers must not be sent to: a following host
+// believes the one it follows; a watching host judges its own failure domain by
+// its connections and believes the peers of the others.
+func down(s Situation, source PeerState, following bool) map[chivehillid.HostID]bool {
+	gone := make(map[chivehillid.HostID]bool)
+	if following {
+		for _, id := range source.Down {
+			gone[id] = true
+		}
+	} else {
+		s.judge(gone)
+	}
+	for id, p := range s.Peers {
+		switch {
+		case p.Leaving:
+			gone[id] = true
+		case p.Live:
+			delete(gone, id)
+		}
+	}
+	delete(gone, s.Self.ID)
+	return gone
+}
+
+// judge marks the hosts that a watching host misses.
+func (s Situation) judge(gone map[chivehillid.HostID]bool) {
+	reached := make(map[chivehillid.DomainID]bool)
+	for _, p := range s.Peers {
+		if !p.Live || p.Host.Domain == s.Self.Domain {
+			continue
+		}
+		reached[p.Host.Domain] = true
+		for _, id := range p.Down {
+			if s.Hosts[id].Domain == p.Host.Domain {
+				gone[id] = true
+			}
+		}
+	}
+	since := s.Started
+	if s.Watching {
+		since = max(since, s.WatchingSince)
+	}
+	for id, h := range s.Hosts {
+		if reached[h.Domain] || s.Peers[id].Live {
+			continue
+		}
+		if s.Now-max(since, s.SeenAt[id]) > graceTime {
+			gone[id] = true
+		}
+	}
+}
--- a/internal/chivehillwire/gateway.go
+++ b/internal/chivehillwire/gateway.go
@@ -69,6 +69,10 @@
 	// Region that this host is in.
 	Region chivehillid.RegionID `json:"region"`
 
+	// Peer addresses of hosts that may know more at the start; empty ones are passed
+	// over.
+	SeedAddresses []string `json:"seed-addresses"`
+
 	// IP address and port of the platform's store.
 	StoreAddress string `json:"store-address"`
 }
