--- a/internal/chivehillfeed/follow.go
+++ b/internal/chivehillfeed/follow.go
@@ -25,6 +25,9 @@
 	longWait = 20 * chivehillclock.Second
 	// answerSlack is how much longer than asked a watch may take.
 	answerSlack = chivehillclock.Second
+	// gatherTime is the pause after news of servers or hosts: what changes
+	// meanwhile comes with one call.
+	gatherTime = 150 * time.Millisecond
 	// minPause and maxPause bound the pause after a failed call.
 	minPause = 50 * time.Millisecond
 	maxPause = 500 * time.Millisecond
@@ -136,6 +139,9 @@
 	}
 	f.answered(c)
 	f.apply(c, update)
+	if len(update.Records) > 0 && c != chivehillcatalog.Configurations && c != chivehillcatalog.Withdrawals {
+		time.Sleep(gatherTime)
+	}
 	return nil
 }
 
--- a/internal/chivehillhost/member.go
+++ b/internal/chivehillhost/member.go
@@ -39,9 +39,22 @@
 func (h *Host) register(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	if err := h.platform.Store.PutHost(ctx, h.self); err != nil && ctx.Err() == nil {
+	if err := h.platform.Store.PutHost(ctx, h.self); err != nil {
 		h.log.Warn().Str("step", "register").Str("peer", "store").Err(err).Msg("host: not registered.")
+		return
 	}
+	h.log.Info().Msg("host: registered.")
+	h.findHosts(ctx)
+}
+
+// findHosts reads the other hosts once, so that this one can follow them.
+func (h *Host) findHosts(ctx context.Context) {
+	update, err := h.platform.Store.List(ctx, chivehillcatalog.Hosts)
+	if err != nil {
+		h.log.Warn().Str("step", "list hosts").Str("peer", "store").Err(err).Msg("host: others not known.")
+		return
+	}
+	h.catalog.Apply(chivehillcatalog.Hosts, update)
 }
 
 // live returns the hosts that callers may be sent to.
--- a/internal/chivehillrelay/link.go
+++ b/internal/chivehillrelay/link.go
@@ -230,6 +230,16 @@
 	return p
 }
 
+// collections returns what the peer knows of each collection, as it said last.
+func (l *link) collections() []chivehillwire.RelayState {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.beat == nil {
+		return nil
+	}
+	return l.beat.Collections
+}
+
 // lagTime is how long news may take by itself before a peer is asked for it.
 const lagTime = 350 * chivehillclock.Millisecond
 
--- a/internal/chivehillrelay/relay.go
+++ b/internal/chivehillrelay/relay.go
@@ -58,11 +58,11 @@
 	seenAt   map[chivehillid.HostID]chivehillclock.Millis
 	decision Decision
 	// watching is what Watch was told last.
-	watching      bool
-	watchingSince chivehillclock.Millis
-	leaving       bool
-	lastBeat      chivehillclock.Millis
-	lastFarBeat   chivehillclock.Millis
+	watching    bool
+	headSince   chivehillclock.Millis
+	leaving     bool
+	lastBeat    chivehillclock.Millis
+	lastFarBeat chivehillclock.Millis
 }
 
 // redial is when an address may be dialed again.
@@ -131,7 +131,7 @@
 	now := r.Clock.Now()
 	s := Situation{
 		Now: now, Started: r.started, Self: r.Self, Hosts: r.Catalog.View().Hosts, Peers: make(map[chivehillid.HostID]PeerState),
-		SeenAt: r.seenAt, Watching: r.watching, WatchingSince: r.watchingSince,
+		SeenAt: r.seenAt, Head: r.decision.Head, HeadSince: r.headSince,
 	}
 	s.ContactAt, s.ContactEver = r.Options.Contact()
 	for key, l := range r.links {
@@ -160,11 +160,12 @@
 		d.Watch = r.watching
 	}
 	changed := !sameKeys(r.decision.Down, d.Down)
+	if d.Head && !r.decision.Head {
+		r.headSince = s.Now
+	}
 	r.decision = d
 	watchChanged := d.Watch != r.watching
-	if watchChanged {
-		r.watching, r.watchingSince = d.Watch, s.Now
-	}
+	r.watching = d.Watch
 	r.dropUnneeded(s, d)
 	far := s.Now-r.lastFarBeat >= farBeatPeriod
 	due := s.Now-r.lastBeat >= beatPeriod
@@ -176,6 +177,9 @@
 	}
 	r.mu.Unlock()
 	r.act(d, watchChanged, changed)
+	for _, l := range r.all() {
+		r.catchUp(l)
+	}
 	r.beat(func(l *link) bool {
 		if l.host.Region == r.Self.Region {
 			return due
@@ -340,28 +344,24 @@
 	l.add(func(m *chivehillwire.RelayMessage) { m.Beat = &b })
 }
 
-// Publish tells news to the peers: the news itself to those that follow this
-// host, and only that there is some to the others.
+// Publish tells news to the peers: the news itself to those of the region that
+// follow this host, and only that there is some to those of other regions.
 func (r *Relay) Publish(c chivehillcatalog.Collection, fresh chivehillcatalog.Update) {
 	if len(fresh.Records) == 0 {
 		return
 	}
 	update := encodeUpdate(c, fresh)
 	for _, l := range r.all() {
-		if l.host.Domain == r.Self.Domain && !l.dialed {
-			l.add(func(m *chivehillwire.RelayMessage) { m.Updates = append(m.Updates, update) })
-		}
-		if l.host.Domain != r.Self.Domain && isUrgent(c) {
+		if l.host.Region != r.Self.Region {
 			r.addBeat(l)
+			continue
+		}
+		if l.host.Domain != r.Self.Domain || !l.dialed {
+			l.add(func(m *chivehillwire.RelayMessage) { m.Updates = append(m.Updates, update) })
 		}
 	}
 }
 
-// isUrgent reports whether news of a collection is told at once across failure domains.
-func isUrgent(c chivehillcatalog.Collection) bool {
-	return c == chivehillcatalog.Configurations || c == chivehillcatalog.Withdrawals
-}
-
 func encodeUpdate(c chivehillcatalog.Collection, u chivehillcatalog.Update) chivehillwire.RelayUpdate {
 	e := chivehillwire.RelayUpdate{Collection: c, Full: u.Full, AsOf: u.AsOf}
 	for _, record := range u.Records {
@@ -391,9 +391,7 @@
 	for _, c := range m.Want {
 		r.answerWant(l, c)
 	}
-	if m.Beat != nil {
-		r.catchUp(l, *m.Beat)
-	}
+	r.catchUp(l)
 }
 
 func (r *Relay) answerWant(l *link, c chivehillcatalog.Collection) {
@@ -409,16 +407,16 @@
 }
 
 // catchUp asks a peer for the collections that it knows more of.
-func (r *Relay) catchUp(l *link, b chivehillwire.RelayBeat) {
+func (r *Relay) catchUp(l *link) {
 	now := r.Clock.Now()
 	var want []chivehillcatalog.Collection
-	for _, e := range b.Collections {
+	for _, e := range l.collections() {
 		if !slices.Contains(chivehillcatalog.Collections, e.Collection) {
 			continue
 		}
 		asOf, digest := r.Catalog.State(e.Collection)
 		behind := e.AsOf > asOf && (e.Digest != digest || asOf == 0)
-		if l.lags(e.Collection, behind, asOf == 0, now) && r.wants(l, e.Collection) {
+		if l.lags(e.Collection, behind, asOf == 0, now) {
 			want = append(want, e.Collection)
 		}
 	}
@@ -427,13 +425,3 @@
 	}
 	l.add(func(m *chivehillwire.RelayMessage) { m.Want = append(m.Want, want...) })
 }
-
-// wants reports whether this host takes a collection from a peer: all from the
-// hosts of its failure domain, and from others what it would not get in time itself.
-func (r *Relay) wants(l *link, c chivehillcatalog.Collection) bool {
-	if l.host.Domain == r.Self.Domain {
-		return true
-	}
-	at, ever := r.Options.Contact()
-	return !ever || isUrgent(c) || r.Clock.Now()-at > silenceTime
-}
--- a/internal/chivehillrelay/roster.go
+++ b/internal/chivehillrelay/roster.go
@@ -1,7 +1,8 @@
-// Package chivehillrelay spreads the news of the store among the hosts: in each
-// failure domain the first reachable host watches the store, the others follow
-// it, and the watching hosts of all failure domains compare what they know.
-// Nobody is elected: each host decides from the hosts it reaches.
+// Package chivehillrelay spreads the news of the store among the hosts. In each
+// failure domain the first reachable host is the head, which the others follow;
+// the heads of a region follow the first of them, which watches the store; and
+// all heads compare what they know. Nobody is elected: each host decides from
+// the hosts it reaches.
 package chivehillrelay
 
 import (
@@ -20,12 +21,14 @@
 	silenceTime = 900 * chivehillclock.Millisecond
 	// farSilenceTime is the same for a peer in another region.
 	farSilenceTime = 2500 * chivehillclock.Millisecond
-	// graceTime is how long a host may be without a connection to the watching
-	// host of its failure domain before callers are kept from it.
+	// graceTime is how long a host may be without a connection to the head
+	// of its failure domain before callers are kept from it.
 	graceTime = 2 * chivehillclock.Second
 	// settleTime is how long a starting host looks for others before it watches
 	// the store itself.
 	settleTime = 300 * chivehillclock.Millisecond
+	// blindTime is the same for a host that knows of no others.
+	blindTime = 700 * chivehillclock.Millisecond
 	// contactTime is the age of the newest contact with the store from which a
 	// host that follows others tries the store itself.
 	contactTime = 2400 * chivehillclock.Millisecond
@@ -60,9 +63,9 @@
 	Peers map[chivehillid.HostID]PeerState
 	// SeenAt is when each host was listed first, or lost its last connection.
 	SeenAt map[chivehillid.HostID]chivehillclock.Millis
-	// WatchingSince is when this host began to watch the store, if it does.
-	WatchingSince chivehillclock.Millis
-	Watching      bool
+	// HeadSince is since when this host is the head of its failure domain, if it is.
+	HeadSince chivehillclock.Millis
+	Head      bool
 	// ContactAt is this host's own newest contact with the store.
 	ContactAt   chivehillclock.Millis
 	ContactEver bool
@@ -82,12 +85,14 @@
 	return listed
 }
 
-func rank(id chivehillid.HostID) uint64 { return xxhash.Sum64String(string(id)) }
+func rank[T ~string](id T) uint64 { return xxhash.Sum64String(string(id)) }
 
 // Decision is what a host does now.
 type Decision struct {
 	// Watch is set if the host watches the store itself.
 	Watch bool
+	// Head is set if the host follows no host of its failure domain.
+	Head bool
 	// Dial lists the hosts to connect to.
 	Dial []chivehillcatalog.Host
 	// Keep lists the peers whose connections are needed.
@@ -109,16 +114,46 @@
 	if position >= 0 {
 		earlier = own[:position]
 	}
-	source, found := d.follow(s, earlier)
-	settled := s.Now-s.Started >= settleTime
-	d.Watch = !found && settled || d.tryStore(s, len(earlier))
-	if !found && settled {
+	source, following := d.follow(s, earlier)
+	before := len(earlier)
+	d.Head = !following && s.settled()
+	if d.Head {
 		d.compare(s)
+		var served bool
+		before, served = s.servedByRegion()
+		d.Watch = !served
 	}
-	d.Down = down(s, source, found)
+	d.Watch = d.Watch || d.tryStore(s, before)
+	d.Down = down(s, source, following)
 	return d
 }
 
+// settled reports whether the host has looked for others for long enough.
+func (s Situation) settled() bool {
+	if len(s.Hosts) == 0 {
+		return s.Now-s.Started >= blindTime
+	}
+	return s.Now-s.Started >= settleTime
+}
+
+// servedByRegion reports whether a head of an earlier failure domain of the
+// region is reached, which then watches the store for this one as well. before
+// is the number of earlier failure domains.
+func (s Situation) servedByRegion() (before int, served bool) {
+	earlier := make(map[chivehillid.DomainID]bool)
+	for _, h := range s.Hosts {
+		if h.Region == s.Self.Region && rank(h.Domain) < rank(s.Self.Domain) {
+			earlier[h.Domain] = true
+		}
+	}
+	for _, p := range s.Peers {
+		if earlier[p.Host.Domain] && p.Live && p.Beaten && !p.Leaving {
+			served = true
+		}
+	}
+	return len(earlier), served
+}
+
 // contact returns the newest contact with the store, own or told by a peer.
 func contact(s Situation) (at chivehillclock.Millis, ever bool) {
 	at, ever = s.ContactAt, s.ContactEver
@@ -158,8 +193,8 @@
 	return s.Now-d.ContactAt > wait
 }
 
-// compare connects a watching host with the first reachable host of each other
-// failure domain.
+// compare connects a head with the first reachable host of each other failure
+// domain.
 func (d *Decision) compare(s Situation) {
 	for _, domain := range otherDomains(s) {
 		d.followDomain(s, order(domain, s.Hosts))
@@ -195,8 +230,8 @@
 }
 
 // down returns the hosts that callers must not be sent to: a following host
-// believes the one it follows; a watching host judges its own failure domain by
-// its connections and believes the peers of the others.
+// believes the one it follows; a head judges its own failure domain by its
+// connections and believes the peers of the others.
 func down(s Situation, source PeerState, following bool) map[chivehillid.HostID]bool {
 	gone := make(map[chivehillid.HostID]bool)
 	if following {
@@ -218,7 +253,7 @@
 	return gone
 }
 
-// judge marks the hosts that a watching host misses.
+// judge marks the hosts that a head misses.
 func (s Situation) judge(gone map[chivehillid.HostID]bool) {
 	reached := make(map[chivehillid.DomainID]bool)
 	for _, p := range s.Peers {
@@ -233,8 +268,8 @@
 		}
 	}
 	since := s.Started
-	if s.Watching {
-		since = max(since, s.WatchingSince)
+	if s.Head {
+		since = max(since, s.HeadSince)
 	}
 	for id, h := range s.Hosts {
 		if reached[h.Domain] || s.Peers[id].Live {
