--- a/internal/chivehillfeed/follow.go
+++ b/internal/chivehillfeed/follow.go
@@ -24,7 +24,7 @@
 	// longWait is how long the other watches wait.
 	longWait = 20 * chivehillclock.Second
 	// answerSlack is how much longer than asked a watch may take.
-	answerSlack = chivehillclock.Second
+	answerSlack = 800 * chivehillclock.Millisecond
 	// gatherTime is the pause after news of servers or hosts: what changes
 	// meanwhile comes with one call.
 	gatherTime = 150 * time.Millisecond
@@ -54,6 +54,7 @@
 	contactAt chivehillclock.Millis
 	contacted bool
 	lost      bool
+	lostAt    chivehillclock.Millis
 	// restart ends the watches that wait, since the connections seem to be mute.
 	restart map[chivehillcatalog.Collection]context.CancelFunc
 }
@@ -75,6 +76,9 @@
 		f.stop()
 		f.stop = nil
 	}
+	f.mu.Lock()
+	f.lost = false
+	f.mu.Unlock()
 	if !watch {
 		return
 	}
@@ -92,6 +96,16 @@
 	return f.contactAt, f.contacted
 }
 
+// lostTime is how long calls have to fail until the store counts as lost.
+const lostTime = 250 * chivehillclock.Millisecond
+
+// Lost reports whether the store has not answered for a while.
+func (f *Follower) Lost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost && f.Clock.Now()-f.lostAt > lostTime
+}
+
 func (f *Follower) follow(ctx context.Context, c chivehillcatalog.Collection) {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = minPause, maxPause
@@ -107,7 +121,9 @@
 			list = true
 			f.Log.Info().Str("collection", string(c)).Msg("feed: history is gone, listing anew.")
 			continue
-		case errors.Is(err, context.Canceled) && ctx.Err() == nil:
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, context.Canceled):
 			// The watch was ended because the store answers on no connection.
 			list = true
 		}
@@ -200,7 +216,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.lost {
-		f.lost = true
+		f.lost, f.lostAt = true, f.Clock.Now()
 		f.Log.Warn().Str("peer", "store").Str("collection", string(c)).Float64("contact-age-ms", float64(f.Clock.Now()-f.contactAt)).
 			Err(err).Msg("feed: store lost.")
 	}
--- a/internal/chivehillhost/host.go
+++ b/internal/chivehillhost/host.go
@@ -101,7 +101,7 @@
 	h.watchCtx, h.unwatch = context.WithCancel(context.Background())
 	h.follower = &chivehillfeed.Follower{Store: p.Store, Catalog: h.catalog, Clock: h.clock, Metrics: h.metrics, Log: log}
 	h.relay = chivehillrelay.New(chivehillrelay.Options{
-		Self: h.self, Seeds: seeds(s.SeedAddresses), Catalog: h.catalog, Clock: h.clock, Log: log, Contact: h.follower.Contact,
+		Self: h.self, Seeds: seeds(s.SeedAddresses), Catalog: h.catalog, Clock: h.clock, Log: log, Contact: h.follower.Contact, Lost: h.follower.Lost,
 		Watch:   func(watch bool) { h.follower.Watch(h.watchCtx, watch) },
 		Changed: func() {},
 	})
--- a/internal/chivehillrelay/link.go
+++ b/internal/chivehillrelay/link.go
@@ -223,7 +223,7 @@
 	if l.beat == nil {
 		return p
 	}
-	p.Leaving, p.Down = l.beat.Leaving, l.beat.Down
+	p.Leaving, p.Down, p.Lost, p.Delegate = l.beat.Leaving, l.beat.Down, l.beat.Lost, l.beat.Delegate
 	if l.beat.ContactAgeMs >= 0 {
 		p.ContactAt, p.ContactEver = l.beatAt-l.beat.ContactAgeMs, true
 	}
--- a/internal/chivehillrelay/relay.go
+++ b/internal/chivehillrelay/relay.go
@@ -36,6 +36,8 @@
 	Log     zerolog.Logger
 	// Contact returns when the store answered this host last.
 	Contact func() (at chivehillclock.Millis, ever bool)
+	// Lost reports whether this host watches the store and has got no answers for a while.
+	Lost func() bool
 	// Watch is called when this host has to begin or to cease to watch the store.
 	Watch func(watch bool)
 	// Changed is called when the set of hosts that are down has changed.
@@ -59,6 +61,7 @@
 	decision Decision
 	// watching is what Watch was told last.
 	watching    bool
+	lost        bool
 	headSince   chivehillclock.Millis
 	leaving     bool
 	lastBeat    chivehillclock.Millis
@@ -134,6 +137,7 @@
 		SeenAt: r.seenAt, Head: r.decision.Head, HeadSince: r.headSince,
 	}
 	s.ContactAt, s.ContactEver = r.Options.Contact()
+	s.Lost, s.Delegate = r.watching && r.Lost(), r.decision.Delegate
 	for key, l := range r.links {
 		p := l.state(now)
 		if old, found := s.Peers[key.id]; !found || p.Live && !old.Live || p.Beaten && !old.Beaten {
@@ -167,8 +171,10 @@
 	watchChanged := d.Watch != r.watching
 	r.watching = d.Watch
 	r.dropUnneeded(s, d)
+	urgent := d.Delegate != s.Delegate || s.Lost != r.lost
+	r.lost = s.Lost
 	far := s.Now-r.lastFarBeat >= farBeatPeriod
-	due := s.Now-r.lastBeat >= beatPeriod
+	due := urgent || s.Now-r.lastBeat >= beatPeriod
 	if due {
 		r.lastBeat = s.Now
 	}
@@ -193,6 +199,9 @@
 		r.Log.Info().Bool("watch", d.Watch).Float64("contact-age-ms", float64(r.Clock.Now()-d.ContactAt)).Msg("relay: role changed.")
 		r.Watch(d.Watch)
 	}
+	if d.Delegate != "" {
+		r.Log.Debug().Str("delegate", string(d.Delegate)).Msg("relay: another host watches in place of this one.")
+	}
 	if downChanged {
 		r.Log.Info().Strs("down", names(d.Down)).Msg("relay: hosts out of reach changed.")
 		r.Changed()
@@ -336,7 +345,7 @@
 		b.Collections = append(b.Collections, chivehillwire.RelayState{Collection: c, AsOf: asOf, Digest: digest})
 	}
 	r.mu.Lock()
-	b.Watching, b.Leaving = r.watching, r.leaving
+	b.Watching, b.Leaving, b.Lost, b.Delegate = r.watching, r.leaving, r.lost, r.decision.Delegate
 	for id := range r.decision.Down {
 		b.Down = append(b.Down, id)
 	}
--- a/internal/chivehillrelay/roster.go
+++ b/internal/chivehillrelay/roster.go
@@ -51,6 +51,10 @@
 	ContactEver bool
 	Leaving     bool
 	Down        []chivehillid.HostID
+	// Lost is set while the peer tries to watch the store and gets no answers.
+	Lost bool
+	// Delegate is the host that the peer asks to watch in its place.
+	Delegate chivehillid.HostID
 }
 
 // Situation is what a host decides from.
@@ -69,6 +73,10 @@
 	// ContactAt is this host's own newest contact with the store.
 	ContactAt   chivehillclock.Millis
 	ContactEver bool
+	// Lost is set while this host tries to watch the store and gets no answers.
+	Lost bool
+	// Delegate is the host that was asked last to watch in this one's place.
+	Delegate chivehillid.HostID
 }
 
 // order returns the hosts of a failure domain in the order in which they watch.
@@ -93,6 +101,9 @@
 	Watch bool
 	// Head is set if the host follows no host of its failure domain.
 	Head bool
+	// Delegate is the host that is asked to watch the store in this one's place;
+	// empty if none is.
+	Delegate chivehillid.HostID
 	// Dial lists the hosts to connect to.
 	Dial []chivehillcatalog.Host
 	// Keep lists the peers whose connections are needed.
@@ -123,11 +134,43 @@
 		before, served = s.servedByRegion()
 		d.Watch = !served
 	}
-	d.Watch = d.Watch || d.tryStore(s, before)
+	if d.Watch && s.Lost {
+		d.Delegate = s.delegate()
+	}
+	d.Watch = d.Watch || s.delegated() || d.tryStore(s, before)
 	d.Down = down(s, source, following)
 	return d
 }
 
+// delegate returns the peer of the region that should watch the store in place
+// of this host: the last one while it gets answers, else the first that does
+// not say that it gets none.
+func (s Situation) delegate() chivehillid.HostID {
+	var able []chivehillid.HostID
+	for id, p := range s.Peers {
+		if p.Host.Region == s.Self.Region && p.Live && p.Beaten && !p.Leaving && !p.Lost {
+			able = append(able, id)
+		}
+	}
+	if len(able) == 0 {
+		return ""
+	}
+	if slices.Contains(able, s.Delegate) {
+		return s.Delegate
+	}
+	return slices.MinFunc(able, func(a, b chivehillid.HostID) int { return cmp.Compare(rank(a), rank(b)) })
+}
+
+// delegated reports whether a live peer asks this host to watch in its place.
+func (s Situation) delegated() bool {
+	for _, p := range s.Peers {
+		if p.Live && p.Delegate == s.Self.ID {
+			return true
+		}
+	}
+	return false
+}
+
 // settled reports whether the host has looked for others for long enough.
 func (s Situation) settled() bool {
 	if len(s.Hosts) == 0 {
--- a/internal/chivehillwire/relay.go
+++ b/internal/chivehillwire/relay.go
@@ -21,12 +21,18 @@
 	// knows of none.
 	ContactAgeMs chivehillclock.Millis `json:"contact-age-ms"`
 
+	// Host that the sender asks to watch the store in its place; empty if none.
+	Delegate chivehillid.HostID `json:"delegate,omitempty"`
+
 	// Hosts that callers must not be sent to.
 	Down []chivehillid.HostID `json:"down,omitempty"`
 
 	// The sender leaves and takes no new callers.
 	Leaving bool `json:"leaving"`
 
+	// The sender tries to watch the store and gets no answers.
+	Lost bool `json:"lost,omitempty"`
+
 	// The sender watches the store itself.
 	Watching bool `json:"watching"`
 }
