feat: full servers, the other region and a queue by priority and due time

Requests that may leave the region stayed while those bound to it found no room. Change: a late health check keeps its connection and tells that the server is full; unbound requests ask two servers of the other region before the near ones are full; requests that find no room wait by priority and due time for room that a finished request or a look shows; callers that waited in vain return later.

--- a/internal/chivehillgateway/choose.go
+++ b/internal/chivehillgateway/choose.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 	"github.com/chivehill/chivehill/internal/chivehillplace"
@@ -13,12 +14,14 @@
 const (
 	// askAtOnce is the number of servers asked side by side.
 	askAtOnce = 2
-	// maxRounds is the most times that further servers are asked.
-	maxRounds = 3
-	// askTimeout bounds a health check within the region.
-	askTimeout = 12 * chivehillclock.Millisecond
-	// farAskTimeout bounds a health check across regions.
-	farAskTimeout = 60 * chivehillclock.Millisecond
+	// nearRounds is the most times that further servers of the region are asked.
+	nearRounds = 3
+	// askPatience is how long a round waits for its answers.
+	askPatience = 10 * chivehillclock.Millisecond
+	// farAskPatience is the same across regions.
+	farAskPatience = 60 * chivehillclock.Millisecond
+	// askTimeout ends a health check. A full server answers late.
+	askTimeout = 2 * chivehillclock.Second
 	// dialTimeout bounds the opening of a connection within the region.
 	dialTimeout = 50 * chivehillclock.Millisecond
 	// farDialTimeout bounds the opening of a connection across regions.
@@ -32,129 +35,172 @@
 	lease *chivehillupstream.Lease
 }
 
-func (c choice) release() {
-	if c.lease != nil {
+func (c *choice) release() {
+	if c != nil && c.lease != nil {
 		c.lease.Release()
+		c.lease = nil
 	}
 }
 
-// choose asks servers until one is good, and returns the best. It fails if no
-// server may get the request.
-func (g *Gateway) choose(ctx context.Context, c *call) (choice, bool) {
-	candidates := g.Table.Candidates(chivehillplace.Need{Service: c.service.ID, Regions: c.route.Regions, Used: c.used})
-	if known, ok := g.knownGood(candidates); ok {
-		return choice{opinion: known}, true
-	}
-	var best choice
-	found := false
-	for range maxRounds {
-		if ctx.Err() != nil || len(candidates) == 0 {
+// choose asks servers until one is good, nearest first, and returns the best,
+// nil if none answered. It asks in other regions only if none near is in time.
+func (g *Gateway) choose(ctx context.Context, c *call) *choice {
+	near, far := split(g.Table.Candidates(c.need()))
+	if known := g.knownGood(c, near); known != nil {
+		return known
+	}
+	var best *choice
+	for range nearRounds {
+		if ctx.Err() != nil || len(near) == 0 || best != nil && best.opinion.Good() {
 			break
 		}
-		n := min(askAtOnce, len(candidates))
-		round, ok := g.askRound(ctx, c, candidates[:n])
-		candidates = candidates[n:]
-		if !ok {
-			continue
-		}
-		best, found = better(best, found, round), true
-		if best.opinion.Good() {
-			break
+		n := min(askAtOnce, len(near))
+		best = better(best, g.askRound(c, near[:n], askPatience))
+		near = near[n:]
+	}
+	if len(far) == 0 || ctx.Err() != nil || best != nil && g.well(c, best.opinion) {
+		return best
+	}
+	return better(best, g.askRound(c, far[:min(askAtOnce, len(far))], farAskPatience))
+}
+
+// split parts the candidates of this region from those of the others.
+func split(candidates []chivehillplace.Candidate) (near, far []chivehillplace.Candidate) {
+	for i, c := range candidates {
+		if c.Distance == chivehillplace.OtherRegion {
+			return candidates[:i], candidates[i:]
 		}
 	}
-	return best, found
+	return candidates, nil
+}
+
+// farPart is the part of the objective up to which a request stays in its region.
+const farPart = 0.55
+
+// well reports whether a request is answered so early that no server of another
+// region need be asked.
+func (g *Gateway) well(c *call, o chivehillplace.Opinion) bool {
+	return g.inTime(c, o) && (o.Good() || o.Estimate <= farPart*c.route.Objective)
+}
+
+// inTime reports whether a request is answered within its route's objective,
+// or at least well within the time left where there is none.
+func (g *Gateway) inTime(c *call, o chivehillplace.Opinion) bool {
+	now := g.Clock.Now()
+	due := c.deadline
+	if c.route.Objective > 0 {
+		due = min(due, c.request.Arrived+c.route.Objective)
+	}
+	return now+o.Estimate <= due
 }
 
 // better keeps the choice with the lower estimate and releases the other.
-func better(old choice, has bool, other choice) choice {
-	if !has {
-		return other
-	}
-	if other.opinion.Estimate < old.opinion.Estimate {
-		old.release()
-		return other
-	}
-	other.release()
-	return old
+func better(a, b *choice) *choice {
+	switch {
+	case a == nil:
+		return b
+	case b == nil:
+		return a
+	case b.opinion.Estimate < a.opinion.Estimate:
+		a.release()
+		return b
+	}
+	b.release()
+	return a
 }
 
 // knownGood returns the first candidate nearby that was good a moment ago.
-func (g *Gateway) knownGood(candidates []chivehillplace.Candidate) (chivehillplace.Opinion, bool) {
-	for _, c := range candidates {
-		if c.Distance != chivehillplace.SameDomain || c.Doubtful || c.Cold {
+func (g *Gateway) knownGood(c *call, candidates []chivehillplace.Candidate) *choice {
+	for _, e := range candidates {
+		if e.Distance != chivehillplace.SameDomain || e.Doubtful || e.Cold {
 			continue
 		}
-		load, fresh := g.Table.Recent(c.ID(), chivehillplace.FreshFor)
+		load, fresh := g.Table.Recent(e.ID(), chivehillplace.FreshFor)
 		if !fresh {
 			continue
 		}
-		o := chivehillplace.NewOpinion(c, chivehillupstream.Remarks{Load: load, HasLoad: true})
+		o := chivehillplace.NewOpinion(e, chivehillupstream.Remarks{Load: load, HasLoad: true}, c.work)
 		if o.Good() {
-			return o, true
+			return &choice{opinion: o}
 		}
 	}
-	return chivehillplace.Opinion{}, false
+	return nil
 }
 
-// askRound asks candidates side by side and returns the best that answered.
-// A good answer ends the round.
-func (g *Gateway) askRound(ctx context.Context, c *call, candidates []chivehillplace.Candidate) (choice, bool) {
+// askRound asks candidates side by side and returns the best that answered in
+// time, nil if none did. A good answer ends the round; late ones are still
+// learnt from.
+func (g *Gateway) askRound(c *call, candidates []chivehillplace.Candidate, patience chivehillclock.Millis) *choice {
 	answers := make(chan *choice, len(candidates))
 	for _, e := range candidates {
 		c.asked++
-		go func() { answers <- g.ask(ctx, c.service.HealthPath, e) }()
+		health, work := c.service.HealthPath, c.work
+		go func() { answers <- g.ask(health, e, work) }()
 	}
-	var best choice
-	found := false
+	timer := time.NewTimer(patience.Duration())
+	defer timer.Stop()
+	var best *choice
 	for i := range candidates {
-		answer := <-answers
-		if answer == nil {
-			continue
+		select {
+		case answer := <-answers:
+			best = better(best, answer)
+		case <-timer.C:
+			go g.useLate(answers, len(candidates)-i)
+			return best
 		}
-		best, found = better(best, found, *answer), true
-		if best.opinion.Good() {
-			go releaseRest(answers, len(candidates)-i-1)
-			break
+		if best != nil && best.opinion.Good() {
+			go g.useLate(answers, len(candidates)-i-1)
+			return best
 		}
 	}
-	return best, found
+	return best
 }
 
-func releaseRest(answers <-chan *choice, n int) {
+// useLate takes the answers that a round did not wait for: a server that has
+// room now is offered to the requests that wait.
+func (g *Gateway) useLate(answers <-chan *choice, n int) {
 	for range n {
-		if late := <-answers; late != nil {
-			late.release()
+		late := <-answers
+		if late == nil {
+			continue
 		}
+		late.release()
+		g.offer(late.opinion.Candidate, late.opinion.Load)
 	}
 }
 
 // ask makes a health check. It returns nil if the server gave no usable answer.
-func (g *Gateway) ask(ctx context.Context, path string, e chivehillplace.Candidate) *choice {
-	ask, dial := askTimeout, dialTimeout
-	if e.Distance == chivehillplace.OtherRegion {
-		ask, dial = farAskTimeout, farDialTimeout
-	}
+func (g *Gateway) ask(path string, e chivehillplace.Candidate, work chivehillclock.Millis) *choice {
 	// A health check goes on when the caller leaves: ending it would cost the connection.
-	ctx = context.WithoutCancel(ctx)
-	lease, err := g.Servers.Pool(e.Server).Take(ctx, dial)
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout.Duration())
+	defer cancel()
+	g.Table.Asking(e.ID())
+	defer g.Table.Asked(e.ID())
+	lease, err := g.Servers.Pool(e.Server).Take(ctx, dialTime(e))
 	if err != nil {
 		g.Table.Checked(e.ID(), false, chivehillplace.Unreachable{})
 		g.Metrics.Probes.WithLabelValues("unreachable").Inc()
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, ask.Duration())
-	defer cancel()
 	answer, usable, err := lease.Ask(ctx, path, e.Server.Address)
 	if err != nil {
 		g.Metrics.Probes.WithLabelValues("failed").Inc()
+		g.Log.Debug().Str("server", string(e.ID())).Str("peer", e.Server.Address).Err(err).Msg("gateway: health check failed.")
 		g.Table.Checked(e.ID(), false, probeOutcome(err))
 		return nil
 	}
-	return g.judge(e, answer, usable, lease)
+	return g.judge(e, answer, usable, lease, work)
+}
+
+func dialTime(e chivehillplace.Candidate) chivehillclock.Millis {
+	if e.Distance == chivehillplace.OtherRegion {
+		return farDialTimeout
+	}
+	return dialTimeout
 }
 
 // judge takes over what a health check told.
-func (g *Gateway) judge(e chivehillplace.Candidate, answer chivehillupstream.Answer, usable bool, lease *chivehillupstream.Lease) *choice {
+func (g *Gateway) judge(e chivehillplace.Candidate, answer chivehillupstream.Answer, usable bool, lease *chivehillupstream.Lease, work chivehillclock.Millis) *choice {
 	remarks := answer.Remarks
 	if remarks.Instance != "" && remarks.Instance != e.ID() {
 		lease.Drop()
@@ -169,16 +215,15 @@
 	} else {
 		g.Table.Checked(e.ID(), healthy, chivehillplace.Served{Remarks: remarks})
 	}
-	if !usable {
-		lease = nil
+	chosen := &choice{opinion: chivehillplace.NewOpinion(e, remarks, work)}
+	if usable {
+		chosen.lease = lease
 	}
 	if !healthy {
-		if lease != nil {
-			lease.Release()
-		}
+		chosen.release()
 		return nil
 	}
-	return &choice{opinion: chivehillplace.NewOpinion(e, remarks), lease: lease}
+	return chosen
 }
 
 func probeResult(a chivehillupstream.Answer) string {
--- a/internal/chivehillgateway/gateway.go
+++ b/internal/chivehillgateway/gateway.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/rs/zerolog"
@@ -54,10 +55,13 @@
 // Gateway answers the requests of callers. It is safe for concurrent use.
 type Gateway struct {
 	Options
+
+	work   *chivehillplace.Work
+	queues queues
 }
 
 // New returns a gateway.
-func New(o Options) *Gateway { return &Gateway{Options: o} }
+func New(o Options) *Gateway { return &Gateway{Options: o, work: chivehillplace.NewWork()} }
 
 const (
 	// defaultWait is how long a caller waits that does not say so.
@@ -82,6 +86,15 @@
 	sent bool
 	// asked is the number of health checks made.
 	asked int
+	// sentAt is when the request was sent last.
+	sentAt chivehillclock.Millis
+	// work is how long the work takes at an idle server.
+	work chivehillclock.Millis
+}
+
+// need returns what the request needs of a server.
+func (c *call) need() chivehillplace.Need {
+	return chivehillplace.Need{Service: c.service.ID, Regions: c.route.Regions, Used: slices.Clone(c.used)}
 }
 
 // Idempotent implements chivehillfront.Handler.
@@ -101,7 +114,7 @@
 	target := pickTarget(route, rand.Float64())
 	c := &call{
 		request: r, id: id, route: route, service: view.Configuration.Services[target], version: view.Configuration.Version,
-		deadline: g.deadline(r, route),
+		deadline: g.deadline(r, route), work: g.work.Typical(route.ID, route.Objective),
 	}
 	g.Budget.Earn(target)
 	response := g.run(ctx, c)
--- a/internal/chivehillgateway/send.go
+++ b/internal/chivehillgateway/send.go
@@ -32,9 +32,9 @@
 		if g.Clock.Now()+fewestMillis >= c.deadline {
 			return g.refuse(c, chivehillreason.DeadlinePassed, 0)
 		}
-		chosen, found := g.choose(ctx, c)
-		if !found {
-			return g.refuse(c, last.reason, comeBackNoServer)
+		chosen := g.find(ctx, c)
+		if chosen == nil {
+			return g.refuse(c, last.reason, max(comeBackNoServer, comeBackPart*(c.deadline-g.Clock.Now())))
 		}
 		if c.attempts > 0 && !g.Budget.Take(c.service.ID) {
 			chosen.release()
@@ -42,7 +42,7 @@
 		}
 		last = g.attempt(ctx, c, chosen)
 		if last.answer != nil {
-			return g.answer(c, *last.answer)
+			return g.answer(c, chosen.opinion, *last.answer)
 		}
 		if !last.again || c.attempts >= c.route.MaxAttempts {
 			return g.refuse(c, last.reason, comeBackBusy)
@@ -56,10 +56,13 @@
 	comeBackBusy = 60 * chivehillclock.Millisecond
 	// comeBackNoServer is when a caller should return that found no server.
 	comeBackNoServer = 150 * chivehillclock.Millisecond
+	// comeBackPart is the part of the time left after which a caller should return
+	// that waited for room in vain; it is spread up to twice that part.
+	comeBackPart = 0.16
 )
 
 // attempt sends the request to the chosen server.
-func (g *Gateway) attempt(ctx context.Context, c *call, chosen choice) step {
+func (g *Gateway) attempt(ctx context.Context, c *call, chosen *choice) step {
 	candidate := chosen.opinion.Candidate
 	if !g.Table.Claim(candidate) {
 		chosen.release()
@@ -75,24 +78,28 @@
 	}
 	c.attempts++
 	c.used = append(c.used, candidate.ID())
+	c.sentAt = g.Clock.Now()
 	answer, err := g.send(ctx, c, candidate, lease)
 	result, outcome := g.assess(ctx, c, answer, err)
 	g.Table.Released(candidate.ID(), outcome)
+	if err == nil && answer.Remarks.HasLoad {
+		g.offer(candidate, answer.Remarks.Load)
+	}
+	if result.answer != nil && chivehillplace.HasRoom(chosen.opinion.Load) {
+		g.work.Observe(c.route.ID, c.route.Objective, g.Clock.Now()-c.sentAt)
+	}
 	if result.answer == nil {
 		g.logAttempt(c, chosen, result.reason, err)
 	}
 	return result
 }
 
-func (g *Gateway) connect(ctx context.Context, chosen choice) (*chivehillupstream.Lease, error) {
+func (g *Gateway) connect(ctx context.Context, chosen *choice) (*chivehillupstream.Lease, error) {
 	if chosen.lease != nil {
 		return chosen.lease, nil
 	}
-	timeout := dialTimeout
-	if chosen.opinion.Candidate.Distance == chivehillplace.OtherRegion {
-		timeout = farDialTimeout
-	}
-	return g.Servers.Pool(chosen.opinion.Candidate.Server).Take(ctx, timeout)
+	candidate := chosen.opinion.Candidate
+	return g.Servers.Pool(candidate.Server).Take(ctx, dialTime(candidate))
 }
 
 // send sends the request on a connection. An idempotent request ends with its
@@ -149,18 +156,20 @@
 }
 
 // answer passes the answer of a server on.
-func (g *Gateway) answer(c *call, a chivehillupstream.Answer) chivehillfront.Response {
+func (g *Gateway) answer(c *call, o chivehillplace.Opinion, a chivehillupstream.Answer) chivehillfront.Response {
 	g.Metrics.Requests.WithLabelValues(string(c.route.ID), string(chivehillreason.Done)).Inc()
 	g.Log.Debug().Str("request", string(c.id)).Str("route", string(c.route.ID)).Str("server", string(c.used[len(c.used)-1])).
 		Int("status", a.Status).Int("attempts", c.attempts).Int("asked", c.asked).
+		Float64("sent-at-ms", float64(c.sentAt-c.request.Arrived)).Float64("work-ms", float64(o.Work)).
+		Float64("estimate-ms", float64(o.Estimate)).Object("load", o.Load).Int("distance", int(o.Candidate.Distance)).
 		Float64("age-ms", float64(g.Clock.Now()-c.request.Arrived)).Msg("gateway: answered.")
 	return chivehillfront.Response{Status: a.Status, Header: chivehillfront.EndToEnd(a.Header), Body: a.Body}
 }
 
-func (g *Gateway) logAttempt(c *call, chosen choice, reason chivehillreason.Reason, err error) {
+func (g *Gateway) logAttempt(c *call, chosen *choice, reason chivehillreason.Reason, err error) {
 	g.Log.Info().Str("request", string(c.id)).Str("route", string(c.route.ID)).
 		Str("server", string(chosen.opinion.Candidate.ID())).Str("peer", chosen.opinion.Candidate.Server.Address).
-		Float64("estimate", chosen.opinion.Estimate).Str("reason", string(reason)).Int("attempts", c.attempts).
+		Float64("estimate-ms", float64(chosen.opinion.Estimate)).Str("reason", string(reason)).Int("attempts", c.attempts).
 		Float64("age-ms", float64(g.Clock.Now()-c.request.Arrived)).Float64("left-ms", float64(c.deadline-g.Clock.Now())).
 		Err(err).Msg("gateway: attempt failed.")
 }
--- a/internal/chivehillplace/server.go
+++ b/internal/chivehillplace/server.go
@@ -35,9 +35,13 @@
 	entry chivehillcatalog.Server
 	// running is the number of requests that this host has running on the server.
 	running int
-	load    chivehillupstream.Load
-	loadAt  chivehillclock.Millis
-	hasLoad bool
+	// asking is the number of health checks that are not answered yet, since
+	// askingSince.
+	asking      int
+	askingSince chivehillclock.Millis
+	load        chivehillupstream.Load
+	loadAt      chivehillclock.Millis
+	hasLoad     bool
 	// doubtful is set until a health check tells whether the server is cold.
 	doubtful bool
 	// coldUntil is when the server ceases to be cold, as it said last.
@@ -56,6 +60,15 @@
 	return s.doubtful || now < s.coldUntil
 }
 
+// silentTime is the time after which a health check without an answer shows
+// that the server is full: health checks wait for a slot like other requests.
+const silentTime = 10 * chivehillclock.Millisecond
+
+// isSilent reports whether the server has not answered a health check for a while.
+func (s *state) isSilent(now chivehillclock.Millis) bool {
+	return s.asking > 0 && now-s.askingSince >= silentTime
+}
+
 // refill adds the tokens earned since the last call, at most burst.
 func (s *state) refill(now chivehillclock.Millis, perSecond, burst float64) {
 	elapsed := float64(now-s.coldRefillAt) / float64(chivehillclock.Second)
--- a/internal/chivehillplace/table.go
+++ b/internal/chivehillplace/table.go
@@ -141,7 +141,7 @@
 	if e.Draining || t.withdrawn[e.Domain] || !known || !need.Regions.Allows(region) || now < s.asideUntil {
 		return Candidate{}, false
 	}
-	if slices.Contains(need.Used, e.ID) {
+	if slices.Contains(need.Used, e.ID) || s.isSilent(now) {
 		return Candidate{}, false
 	}
 	cold := now < s.coldUntil
@@ -176,7 +176,7 @@
 func (s *state) score(now chivehillclock.Millis) float64 {
 	score := float64(s.running) + rand.Float64()
 	if s.hasLoad && now-s.loadAt < loadKeep {
-		score += Estimate(s.load) - 1
+		score += pressure(s.load)
 	}
 	if now < s.refusedUntil {
 		score += refusedPenalty
@@ -184,6 +184,12 @@
 	return score
 }
 
+// pressure ranks a load report: the requests per slot and the pace.
+func pressure(l chivehillupstream.Load) float64 {
+	perSlot := float64(l.Running+l.Waiting) / max(1, float64(l.Slots))
+	return perSlot + float64(l.Pace)/float64(chivehillupstream.UsualPace) - 1
+}
+
 func (t *Table) get(id chivehillid.ServerID) *state {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
@@ -215,6 +221,37 @@
 	return true
 }
 
+// Fits reports whether a candidate may serve a need.
+func (t *Table) Fits(need Need, c Candidate) bool {
+	return c.Server.Service == need.Service && !slices.Contains(need.Used, c.ID()) && need.Regions.Allows(t.place.Regions[c.Server.Domain])
+}
+
+// Asking notes that a health check begins. Its end is told with Asked.
+func (t *Table) Asking(id chivehillid.ServerID) {
+	s := t.get(id)
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.asking == 0 {
+		s.askingSince = t.clock.Now()
+	}
+	s.asking++
+}
+
+// Asked notes that a health check has ended.
+func (t *Table) Asked(id chivehillid.ServerID) {
+	s := t.get(id)
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asking--
+	s.askingSince = t.clock.Now()
+}
+
 // Recent returns what a server said within age.
 func (t *Table) Recent(id chivehillid.ServerID, age chivehillclock.Millis) (chivehillupstream.Load, bool) {
 	s := t.get(id)
--- a/internal/chivehillreason/reason.go
+++ b/internal/chivehillreason/reason.go
@@ -81,12 +81,13 @@
 		return http.StatusConflict
 	case RegionForbidden:
 		return http.StatusMisdirectedRequest
-	case ServerSilent, DeadlinePassed:
-		return http.StatusGatewayTimeout
 	}
 	if o == NotRun {
 		return http.StatusServiceUnavailable
 	}
+	if r == ServerSilent || r == DeadlinePassed {
+		return http.StatusGatewayTimeout
+	}
 	return http.StatusBadGateway
 }
 
--- a/internal/chivehillupstream/types.go
+++ b/internal/chivehillupstream/types.go
@@ -6,6 +6,8 @@
 	"errors"
 	"net/http"
 
+	"github.com/rs/zerolog"
+
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 	"github.com/chivehill/chivehill/internal/chivehillid"
 )
@@ -25,6 +27,11 @@
 	Pace Percent
 }
 
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (l Load) MarshalZerologObject(e *zerolog.Event) {
+	e.Int("running", l.Running).Int("waiting", l.Waiting).Int("slots", int(l.Slots)).Int("pace", int(l.Pace))
+}
+
 // Remarks are what a server says beside its answer.
 type Remarks struct {
 	RequestID chivehillid.RequestID
