test: the path through hosts, a store and servers on loopback; each server gets its turn

Cause: TestDrainedServerGetsNothing: a server that came back got no work while another one was known to be good; TestCallersBeyondTheLimits: a header that stopped halfway was answered 400, not 408. Change: a server unheard of for a second is asked; the connection's own error tells a slow header.

--- a/internal/chivehillfront/conn.go
+++ b/internal/chivehillfront/conn.go
@@ -207,9 +207,9 @@
 	switch {
 	case c.limit.left <= 0:
 		return errHeaderTooLarge
-	case errors.As(err, &netErr) && netErr.Timeout():
+	case errors.As(c.limit.failed, &netErr) && netErr.Timeout():
 		return errSlow
-	case errors.As(err, &netErr), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+	case c.limit.failed != nil:
 		return fmt.Errorf("read header: %w", err)
 	}
 	return fmt.Errorf("%w: %w", errMalformed, err)
--- a/internal/chivehillgateway/choose.go
+++ b/internal/chivehillgateway/choose.go
@@ -109,8 +109,19 @@
 	return a
 }
 
-// knownGood returns the first candidate nearby that was good a moment ago.
+// heardOfTime is the time after which a server is asked again even if another
+// one is known to be good, so that each server gets its turn.
+const heardOfTime = chivehillclock.Second
+
+// knownGood returns the first of the candidates that would be asked that was
+// good a moment ago, unless one of them was not heard of for long.
 func (g *Gateway) knownGood(c *call, candidates []chivehillplace.Candidate) *choice {
+	candidates = candidates[:min(askAtOnce, len(candidates))]
+	for _, e := range candidates {
+		if _, heard := g.Table.Recent(e.ID(), heardOfTime); !heard {
+			return nil
+		}
+	}
 	for _, e := range candidates {
 		if e.Distance != chivehillplace.SameDomain || e.Doubtful || e.Cold {
 			continue
