--- a/internal/chivehillrelay/roster.go
+++ b/internal/chivehillrelay/roster.go
@@ -127,7 +127,7 @@
 	}
 	source, following := d.follow(s, earlier)
 	before := len(earlier)
-	d.Head = !following && s.settled()
+	d.Head = !following && (s.settled() || s.first(earlier))
 	if d.Head {
 		d.compare(s)
 		var served bool
@@ -171,6 +171,15 @@
 	return false
 }
 
+// first reports whether no host comes before this one in its region.
+func (s Situation) first(earlier []chivehillcatalog.Host) bool {
+	if len(s.Hosts) == 0 || len(earlier) > 0 {
+		return false
+	}
+	before, _ := s.servedByRegion()
+	return before == 0
+}
+
 // settled reports whether the host has looked for others for long enough.
 func (s Situation) settled() bool {
 	if len(s.Hosts) == 0 {
