--- a/cmd/chivehill/gateway.go
+++ b/cmd/chivehill/gateway.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -42,7 +41,6 @@
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
-	debug.SetGCPercent(gcPercent)
 	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/internal/chivehillfeed/follow.go
+++ b/internal/chivehillfeed/follow.go
@@ -55,6 +55,9 @@
 	contacted bool
 	lost      bool
 	lostAt    chivehillclock.Millis
+	// listing is the number of lists under way, the oldest since listingAt.
+	listing   int
+	listingAt chivehillclock.Millis
 	// restart ends the watches that wait, since the connections seem to be mute.
 	restart map[chivehillcatalog.Collection]context.CancelFunc
 }
@@ -96,14 +99,29 @@
 	return f.contactAt, f.contacted
 }
 
-// lostTime is how long calls have to fail until the store counts as lost.
-const lostTime = 250 * chivehillclock.Millisecond
+const (
+	// lostTime is how long calls have to fail until the store counts as lost.
+	lostTime = 250 * chivehillclock.Millisecond
+	// muteTime is how long a list may take until the store counts as lost.
+	muteTime = 700 * chivehillclock.Millisecond
+)
 
 // Lost reports whether the store has not answered for a while.
 func (f *Follower) Lost() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.lost && f.Clock.Now()-f.lostAt > lostTime
+	now := f.Clock.Now()
+	return f.lost && now-f.lostAt > lostTime || f.listing > 0 && now-f.listingAt > muteTime
+}
+
+// countListing counts the lists under way.
+func (f *Follower) countListing(by int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listing == 0 {
+		f.listingAt = f.Clock.Now()
+	}
+	f.listing += by
 }
 
 func (f *Follower) follow(ctx context.Context, c chivehillcatalog.Collection) {
@@ -164,7 +182,9 @@
 func (f *Follower) list(ctx context.Context, c chivehillcatalog.Collection) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout.Duration())
 	defer cancel()
+	f.countListing(1)
 	update, err := f.Store.List(ctx, c)
+	f.countListing(-1)
 	f.count("list", err)
 	if err != nil {
 		return err
--- a/internal/chivehillgateway/wait.go
+++ b/internal/chivehillgateway/wait.go
@@ -44,7 +44,7 @@
 // has room, as long as starting is of use. It returns nil if there is none.
 func (g *Gateway) find(ctx context.Context, c *call) *choice {
 	chosen := g.choose(ctx, c)
-	if chosen != nil && g.inTime(c, chosen.opinion) {
+	if chosen != nil && g.inTime(c, chosen.opinion) && g.mayOvertake(c, chosen.opinion) {
 		return chosen
 	}
 	chosen.release()
@@ -54,6 +54,13 @@
 	return nil
 }
 
+// mayOvertake reports whether a request may go to a server although others
+// wait. Then servers are only used as far as they get most done: filling them
+// further would make all their requests late.
+func (g *Gateway) mayOvertake(c *call, o chivehillplace.Opinion) bool {
+	return chivehillplace.HasRoom(o.Load) || g.queues.of(c.service.ID).Len() == 0
+}
+
 // latest returns the last moment at which a request should start: in time for
 // the objective, or soon if it is late already.
 func (g *Gateway) latest(c *call) chivehillclock.Millis {
--- a/internal/chivehillplace/judge.go
+++ b/internal/chivehillplace/judge.go
@@ -15,7 +15,7 @@
 	// queueFactor is how much longer than usual the requests ahead take on average.
 	queueFactor = 1.3
 	// paceHold is the time for which a reported pace holds on average.
-	paceHold = 100 * chivehillclock.Millisecond
+	paceHold = 150 * chivehillclock.Millisecond
 	// goodFactor is the part of the usual time up to which no other server is asked.
 	goodFactor = 1.25
 	// farTime is added for a server in another region.
--- a/internal/chivehillrelay/relay.go
+++ b/internal/chivehillrelay/relay.go
@@ -137,6 +137,7 @@
 		SeenAt: r.seenAt, Head: r.decision.Head, HeadSince: r.headSince,
 	}
 	s.ContactAt, s.ContactEver = r.Options.Contact()
+	s.Informed = r.informed()
 	s.Lost, s.Delegate = r.watching && r.Lost(), r.decision.Delegate
 	for key, l := range r.links {
 		p := l.state(now)
@@ -237,7 +238,7 @@
 func (r *Relay) dropUnneeded(s Situation, d Decision) {
 	for key, l := range r.links {
 		p := l.state(s.Now)
-		unneeded := key.dialed && p.Beaten && !d.Keep[key.id] && d.ContactEver && r.informed()
+		unneeded := key.dialed && p.Beaten && !d.Keep[key.id] && s.Informed
 		if !p.Live || unneeded {
 			go func() { _ = l.conn.CloseNow() }()
 		}
--- a/internal/chivehillrelay/roster.go
+++ b/internal/chivehillrelay/roster.go
@@ -28,12 +28,17 @@
 	// the store itself.
 	settleTime = 300 * chivehillclock.Millisecond
 	// blindTime is the same for a host that knows of no others.
-	blindTime = 700 * chivehillclock.Millisecond
+	blindTime = 600 * chivehillclock.Millisecond
 	// contactTime is the age of the newest contact with the store from which a
 	// host that follows others tries the store itself.
 	contactTime = 2400 * chivehillclock.Millisecond
 	// contactStep is added for each host that tries before this one.
 	contactStep = 400 * chivehillclock.Millisecond
+	// blindStep is added to settleTime, after which a starting host that learns
+	// nothing from the others tries the store, for each host that tries before this one, at
+	// most maxBlindSteps times.
+	blindStep     = 100 * chivehillclock.Millisecond
+	maxBlindSteps = 8
 	// dialsAtOnce is the most hosts of a failure domain dialed side by side.
 	dialsAtOnce = 2
 )
@@ -73,6 +78,8 @@
 	// ContactAt is this host's own newest contact with the store.
 	ContactAt   chivehillclock.Millis
 	ContactEver bool
+	// Informed is set once every collection is known.
+	Informed bool
 	// Lost is set while this host tries to watch the store and gets no answers.
 	Lost bool
 	// Delegate is the host that was asked last to watch in this one's place.
@@ -238,6 +245,9 @@
 // tryStore reports whether a host that follows others has to try the store
 // itself: no host that it hears of reaches it. Hosts try one after the other.
 func (d *Decision) tryStore(s Situation, before int) bool {
+	if !s.Informed {
+		return s.Now-s.Started > settleTime+chivehillclock.Millis(min(before, maxBlindSteps))*blindStep
+	}
 	wait := contactTime + chivehillclock.Millis(before)*contactStep
 	if !d.ContactEver {
 		return s.Now-s.Started > settleTime+wait
