feat: settings reload with and without a signal; the clock counts suspensions; tests of the decisions

Cause: a SIGHUP ended the process or was ignored; a suspended host believed that no time had passed.

--- a/cmd/chivehill/gateway.go
+++ b/cmd/chivehill/gateway.go
@@ -26,6 +26,10 @@
 
 // Run implements the command.
 func (c *gatewayCmd) Run() error {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	settings, err := chivehillsettings.LoadGateway(c.Settings)
 	if err != nil {
 		return usageError{err}
@@ -41,9 +45,7 @@
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
-	signal.Ignore(syscall.SIGHUP)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
+	go host.FollowSettings(ctx, c.Settings, reload)
 	return host.Run(ctx)
 }
 
--- a/internal/chivehillclock/clock.go
+++ b/internal/chivehillclock/clock.go
@@ -4,6 +4,8 @@
 import (
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Millis is a point in time or a duration, in milliseconds. Points in time
@@ -27,9 +29,12 @@
 	return Millis(float64(d) / float64(time.Millisecond))
 }
 
-// Clock tells the time. The zero value is not usable; call New or NewManual.
+// Clock tells the time. The zero value is not usable; call New, NewBoot or NewManual.
 type Clock struct {
 	origin time.Time
+	// boot is the origin of a clock that counts the time for which the machine
+	// was suspended, 0 for other clocks.
+	boot time.Duration
 
 	mu     sync.Mutex
 	manual bool
@@ -42,6 +47,23 @@
 	return &Clock{origin: time.Now()}
 }
 
+// NewBoot returns a clock that also counts the time for which the machine was
+// suspended. Where there is none it is the same as New.
+func NewBoot() *Clock {
+	c := New()
+	c.boot, _ = sinceBoot()
+	return c
+}
+
+// sinceBoot returns the time since the machine started, suspensions included.
+func sinceBoot() (time.Duration, bool) {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		return 0, false
+	}
+	return time.Duration(now.Nano()), true
+}
+
 // NewManual returns a clock that moves only when Advance is called.
 func NewManual() *Clock {
 	return &Clock{manual: true}
@@ -49,6 +71,11 @@
 
 // Now returns the current time.
 func (c *Clock) Now() Millis {
+	if c.boot > 0 {
+		if now, ok := sinceBoot(); ok {
+			return FromDuration(now - c.boot)
+		}
+	}
 	if !c.manual {
 		return FromDuration(time.Since(c.origin))
 	}
--- a/internal/chivehillgateway/budget.go
+++ b/internal/chivehillgateway/budget.go
@@ -18,12 +18,11 @@
 // All hosts together stay within the bound since each uses its share. It is
 // safe for concurrent use.
 type RetryBudget struct {
+	mu sync.Mutex
 	// ratio is the part of the requests that may be sent once more.
 	ratio float64
 	// slack is what all hosts together may send beyond that in one window.
-	slack float64
-
-	mu     sync.Mutex
+	slack  float64
 	hosts  int
 	shares map[chivehillid.ServiceID]*chivehillbudget.Share
 }
@@ -46,6 +45,17 @@
 	}
 }
 
+// SetBounds changes the ratio and the slack.
+func (b *RetryBudget) SetBounds(ratio, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if ratio == b.ratio && slack == b.slack {
+		return
+	}
+	b.ratio, b.slack = ratio, slack
+	clear(b.shares)
+}
+
 func (b *RetryBudget) burst() float64 {
 	return b.slack * budgetPart / float64(b.hosts)
 }
--- a/internal/chivehillhost/host.go
+++ b/internal/chivehillhost/host.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"reflect"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -79,7 +80,9 @@
 	front    *chivehillfront.Server
 
 	leaving atomic.Bool
-	tasks   conc.WaitGroup
+	// bounds are those of the newest settings.
+	bounds atomic.Pointer[chivehillwire.GatewayBounds]
+	tasks  conc.WaitGroup
 }
 
 // New assembles a host. Run runs it.
@@ -89,12 +92,13 @@
 		return nil, fmt.Errorf("draw incarnation: %w", err)
 	}
 	h := &Host{
-		settings: s, platform: p, clock: chivehillclock.New(), log: log, metrics: chivehillmetrics.NewGateway(),
+		settings: s, platform: p, clock: chivehillclock.NewBoot(), log: log, metrics: chivehillmetrics.NewGateway(),
 		self: chivehillcatalog.Host{
 			ID: s.Host, Incarnation: chivehillid.Incarnation(hex.EncodeToString(raw)), Region: s.Region, Domain: s.FailureDomain,
 			CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, PeerAddress: s.PeerAddress,
 		},
 	}
+	h.bounds.Store(&s.Bounds)
 	place := chivehillplace.Place{Domain: s.FailureDomain, Region: s.Region, Regions: s.Domains}
 	h.table = chivehillplace.NewTable(place, h.clock, h.responsible, log)
 	h.catalog = chivehillcatalog.New(chivehillcatalog.Options{Decoder: p.Decoder, Log: log, Changed: h.changed})
@@ -117,6 +121,17 @@
 	return h, nil
 }
 
+// Reload puts the bounds of new settings in force. What else has changed needs a
+// restart and is logged.
+func (h *Host) Reload(s chivehillwire.GatewaySettings) {
+	h.bounds.Store(&s.Bounds)
+	h.budget.SetBounds(s.Bounds.RetryRatio, s.Bounds.RetrySlack)
+	rest, old := s, h.settings
+	rest.Bounds, old.Bounds = chivehillwire.GatewayBounds{}, chivehillwire.GatewayBounds{}
+	needsRestart := !reflect.DeepEqual(rest, old)
+	h.log.Info().Bool("needs-restart", needsRestart).Msg("host: settings reloaded.")
+}
+
 // Run serves until ctx ends and then stops gracefully.
 func (h *Host) Run(ctx context.Context) error {
 	s := h.settings
@@ -185,7 +200,7 @@
 // Confirmed implements chivehillgateway.Beliefs.
 func (h *Host) Confirmed() bool {
 	at, ever := h.relay.Contact()
-	return ever && h.clock.Now()-at < seconds(h.settings.Bounds.ConfigurationSeconds)+confirmSlack
+	return ever && h.clock.Now()-at < seconds(h.bounds.Load().ConfigurationSeconds)+confirmSlack
 }
 
 // confirmSlack is how much older than the bound a confirmed configuration may be.
--- a/internal/chivehillhost/member.go
+++ b/internal/chivehillhost/member.go
@@ -82,7 +82,7 @@
 	for _, e := range chosen {
 		addresses = append(addresses, e.CallerAddress)
 	}
-	return addresses, min(keepAnswer, seconds(h.settings.Bounds.AnswerKeepSeconds))
+	return addresses, min(keepAnswer, seconds(h.bounds.Load().AnswerKeepSeconds))
 }
 
 // responsible reports whether this host is the one that sends to a server while
--- a/internal/chivehillhost/stop.go
+++ b/internal/chivehillhost/stop.go
@@ -20,7 +20,7 @@
 // stop takes the host out of use without cutting a request off.
 func (h *Host) stop(callers net.Listener) {
 	started := h.clock.Now()
-	grace := seconds(h.settings.Bounds.StopGraceSeconds)
+	grace := seconds(h.bounds.Load().StopGraceSeconds)
 	h.leaving.Store(true)
 	h.front.Leave()
 	h.relay.Leave()
--- /dev/null
+++ b/internal/chivehillrelay/roster_test.go
@@ -0,0 +1,186 @@
+package chivehillrelay
+
+import (
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivehill/chivehill/internal/chivehillcatalog"
+	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+)
+
+// hostsOf returns n hosts of each failure domain.
+func hostsOf(n int, domains ...chivehillid.DomainID) map[chivehillid.HostID]chivehillcatalog.Host {
+	hosts := make(map[chivehillid.HostID]chivehillcatalog.Host)
+	for _, d := range domains {
+		for i := range n {
+			id := chivehillid.HostID(string(d) + "-" + string(rune('a'+i)))
+			hosts[id] = chivehillcatalog.Host{ID: id, Domain: d, Region: chivehillid.RegionID(d[:1]), PeerAddress: string(id)}
+		}
+	}
+	return hosts
+}
+
+const now = 100 * chivehillclock.Second
+
+// world returns the situation of a host that has run for long, connected with all hosts.
+func world(self chivehillcatalog.Host, hosts map[chivehillid.HostID]chivehillcatalog.Host) Situation {
+	s := Situation{
+		Now: now, Self: self, Hosts: hosts, Peers: make(map[chivehillid.HostID]PeerState), SeenAt: make(map[chivehillid.HostID]chivehillclock.Millis),
+		Informed: true, ContactAt: now, ContactEver: true, Head: true,
+	}
+	for id, h := range hosts {
+		if id != self.ID {
+			s.Peers[id] = PeerState{Host: h, Live: true, Beaten: true, ContactAt: now, ContactEver: true}
+		}
+	}
+	return s
+}
+
+func (s Situation) lose(ids ...chivehillid.HostID) Situation {
+	for _, id := range ids {
+		delete(s.Peers, id)
+	}
+	return s
+}
+
+func TestOneWatchesPerRegion(t *testing.T) {
+	hosts := hostsOf(4, "e1", "e2", "w1", "w2")
+	watching := make(map[chivehillid.RegionID]int)
+	for _, h := range hosts {
+		if Decide(world(h, hosts)).Watch {
+			watching[h.Region]++
+		}
+	}
+	qt.Assert(t, watching, qt.DeepEquals, map[chivehillid.RegionID]int{"e": 1, "w": 1})
+}
+
+func TestWhoWatches(t *testing.T) {
+	hosts := hostsOf(3, "e1")
+	ranked := order("e1", hosts)
+	first, second, third := ranked[0], ranked[1], ranked[2]
+	old := now - contactTime - chivehillclock.Second
+	tests := []struct {
+		about string
+		self  chivehillcatalog.Host
+		with  func(Situation) Situation
+		watch bool
+	}{
+		{"the first", first, func(s Situation) Situation { return s }, true},
+		{"the second follows", second, func(s Situation) Situation { return s }, false},
+		{"the second without the first", second, func(s Situation) Situation { return s.lose(first.ID) }, true},
+		{"the third without the first", third, func(s Situation) Situation { return s.lose(first.ID) }, false},
+		{"the second cut off from all", second, func(s Situation) Situation { return s.lose(first.ID, third.ID) }, true},
+		{"asked to watch", third, func(s Situation) Situation {
+			p := s.Peers[first.ID]
+			p.Delegate = third.ID
+			s.Peers[first.ID] = p
+			return s
+		}, true},
+		{"the first leaves", second, func(s Situation) Situation {
+			p := s.Peers[first.ID]
+			p.Leaving = true
+			s.Peers[first.ID] = p
+			return s
+		}, true},
+		{"nobody reaches the store for long", second, func(s Situation) Situation {
+			s.ContactAt = old
+			for id, p := range s.Peers {
+				p.ContactAt = old
+				s.Peers[id] = p
+			}
+			return s
+		}, true},
+		{"just started, nothing known, a host before", second, func(s Situation) Situation {
+			s.Started, s.Informed, s.ContactEver = now-settleTime/2, false, false
+			return s
+		}, false},
+		{"started a while ago and learnt nothing", second, func(s Situation) Situation {
+			s.Started, s.Informed = now-settleTime-2*blindStep, false
+			return s
+		}, true},
+		{"just started and knows no hosts", first, func(s Situation) Situation {
+			s.Started, s.Hosts, s.Informed = now-settleTime, nil, false
+			return s.lose(second.ID, third.ID)
+		}, false},
+		{"just started and first of its region", first, func(s Situation) Situation {
+			s.Started = now
+			return s.lose(second.ID, third.ID)
+		}, true},
+	}
+	for _, tt := range tests {
+		d := Decide(tt.with(world(tt.self, hosts)))
+		qt.Check(t, d.Watch, qt.Equals, tt.watch, qt.Commentf("%s", tt.about))
+	}
+}
+
+func TestDelegate(t *testing.T) {
+	hosts := hostsOf(3, "e1")
+	ranked := order("e1", hosts)
+	s := world(ranked[0], hosts)
+	qt.Assert(t, Decide(s).Delegate, qt.Equals, chivehillid.HostID(""))
+	s.Lost = true
+	first := Decide(s).Delegate
+	qt.Assert(t, first, qt.Not(qt.Equals), chivehillid.HostID(""))
+	s.Delegate = first
+	qt.Assert(t, Decide(s).Delegate, qt.Equals, first)
+	p := s.Peers[first]
+	p.Lost = true
+	s.Peers[first] = p
+	qt.Assert(t, Decide(s).Delegate, qt.Not(qt.Equals), first)
+	qt.Assert(t, Decide(s.lose(ranked[1].ID, ranked[2].ID)).Delegate, qt.Equals, chivehillid.HostID(""))
+}
+
+func TestHostsOutOfReach(t *testing.T) {
+	hosts := hostsOf(3, "e1", "w1")
+	east, west := order("e1", hosts), order("w1", hosts)
+	tests := []struct {
+		about string
+		self  chivehillcatalog.Host
+		with  func(Situation) Situation
+		down  []chivehillid.HostID
+	}{
+		{"all there", east[0], func(s Situation) Situation { return s }, nil},
+		{"one of the own domain gone", east[0], func(s Situation) Situation { return s.lose(east[2].ID) }, []chivehillid.HostID{east[2].ID}},
+		{"gone a moment ago", east[0], func(s Situation) Situation {
+			s.SeenAt[east[2].ID] = now - graceTime/2
+			return s.lose(east[2].ID)
+		}, nil},
+		{"a head since a moment", east[0], func(s Situation) Situation {
+			s.HeadSince = now - graceTime/2
+			return s.lose(east[2].ID)
+		}, nil},
+		{"told by the head that is followed", east[1], func(s Situation) Situation {
+			p := s.Peers[east[0].ID]
+			p.Down = []chivehillid.HostID{west[1].ID}
+			s.Peers[east[0].ID] = p
+			return s.lose(west[0].ID, west[1].ID, west[2].ID)
+		}, []chivehillid.HostID{west[1].ID}},
+		{"told by the head of another domain", east[0], func(s Situation) Situation {
+			p := s.Peers[west[0].ID]
+			p.Down = []chivehillid.HostID{west[2].ID, east[1].ID}
+			s.Peers[west[0].ID] = p
+			return s.lose(west[1].ID, west[2].ID)
+		}, []chivehillid.HostID{west[2].ID}},
+		{"a whole domain out of reach", east[0], func(s Situation) Situation {
+			return s.lose(west[0].ID, west[1].ID, west[2].ID)
+		}, []chivehillid.HostID{west[0].ID, west[1].ID, west[2].ID}},
+		{"leaving", east[0], func(s Situation) Situation {
+			p := s.Peers[east[1].ID]
+			p.Leaving = true
+			s.Peers[east[1].ID] = p
+			return s
+		}, []chivehillid.HostID{east[1].ID}},
+	}
+	for _, tt := range tests {
+		var got []chivehillid.HostID
+		for id := range Decide(tt.with(world(tt.self, hosts))).Down {
+			got = append(got, id)
+		}
+		slices.Sort(got)
+		slices.Sort(tt.down)
+		qt.Check(t, got, qt.DeepEquals, tt.down, qt.Commentf("%s", tt.about))
+	}
+}
