--- a/cmd/chivehill/gateway.go
+++ b/cmd/chivehill/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/chivehill/chivehill/internal/chivehillhost"
 	"github.com/chivehill/chivehill/internal/chivehilllog"
 	"github.com/chivehill/chivehill/internal/chivehillsettings"
+	"github.com/chivehill/chivehill/internal/chivehillwire"
 	chivehillplatform "github.com/chivehill/chivehill/platform"
 )
 
@@ -41,7 +42,7 @@
 	log, sink := chivehilllog.New(os.Stdout, level, func(int) {})
 	defer func() { _ = sink.Close() }()
 	log = log.With().Str("host", string(settings.Host)).Logger()
-	host, err := chivehillhost.New(settings, newPlatform(settings.StoreAddress), log)
+	host, err := chivehillhost.New(settings, newPlatform(settings), log)
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
@@ -59,13 +60,13 @@
 	storeIdleConnections   = 8
 )
 
-func newPlatform(storeAddress string) chivehillhost.Platform {
+func newPlatform(s chivehillwire.GatewaySettings) chivehillhost.Platform {
 	dialer := net.Dialer{Timeout: storeDialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: storeKeepAliveIdle, Interval: storeKeepAliveInterval, Count: storeKeepAliveCount,
 	}}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: storeIdleConnections}
 	return chivehillhost.Platform{
-		Store:   chivehillplatform.NewStore(storeAddress, transport),
+		Store:   chivehillplatform.NewStore(s.StoreAddress, s.Host, transport),
 		Decoder: chivehillplatform.Decoder{},
 		Dialect: chivehillplatform.Dialect{},
 		Directory: func(resolve chivehillhost.Resolve) http.Handler {
--- a/internal/chivehillgateway/choose.go
+++ b/internal/chivehillgateway/choose.go
@@ -109,20 +109,10 @@
 	return a
 }
 
-// heardOfTime is the time after which a server is asked again even if another
-// one is known to be good, so that each server gets its turn.
-const heardOfTime = chivehillclock.Second
-
-// knownGood returns the first of the candidates that would be asked that was
-// good a moment ago, unless one of them was not heard of for long.
+// knownGood returns the candidate that would be asked first if it was good a
+// moment ago. Others are not looked at, so that each server gets its turn.
 func (g *Gateway) knownGood(c *call, candidates []chivehillplace.Candidate) *choice {
-	candidates = candidates[:min(askAtOnce, len(candidates))]
-	for _, e := range candidates {
-		if _, heard := g.Table.Recent(e.ID(), heardOfTime); !heard {
-			return nil
-		}
-	}
-	for _, e := range candidates {
+	for _, e := range candidates[:min(1, len(candidates))] {
 		if e.Distance != chivehillplace.SameDomain || e.Doubtful || e.Cold {
 			continue
 		}
