fix: hosts leave the store alone while others look for one that it answers

Change: a head that gets no answers says that it searches, and those that follow it wait 20 s longer; only the configuration is tried often; a host that cannot register tries less often. Test: TestWhoWatches, 'nobody reaches the store, but the first looks for one that does'.

--- a/internal/chivehillfeed/follow.go
+++ b/internal/chivehillfeed/follow.go
@@ -30,7 +30,9 @@
 	gatherTime = 150 * time.Millisecond
 	// minPause and maxPause bound the pause after a failed call.
 	minPause = 50 * time.Millisecond
-	maxPause = 500 * time.Millisecond
+	maxPause = 2 * time.Second
+	// maxConfirmPause is the same for the configuration, which tries for all.
+	maxConfirmPause = 500 * time.Millisecond
 )
 
 // Follower follows the store with a watch for each collection. It is safe for
@@ -55,6 +57,8 @@
 	contacted bool
 	lost      bool
 	lostAt    chivehillclock.Millis
+	// regained is closed when the store answers again.
+	regained chan struct{}
 	// listing is the number of lists under way, the oldest since listingAt.
 	listing   int
 	listingAt chivehillclock.Millis
@@ -80,7 +84,11 @@
 		f.stop = nil
 	}
 	f.mu.Lock()
-	f.lost = false
+	if f.lost {
+		f.lost = false
+		close(f.regained)
+		f.regained = make(chan struct{})
+	}
 	f.mu.Unlock()
 	if !watch {
 		return
@@ -127,6 +135,9 @@
 func (f *Follower) follow(ctx context.Context, c chivehillcatalog.Collection) {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = minPause, maxPause
+	if c == chivehillcatalog.Configurations {
+		pause.MaxInterval = maxConfirmPause
+	}
 	list := true
 	for ctx.Err() == nil {
 		err := f.step(ctx, c, list)
@@ -146,10 +157,19 @@
 			list = true
 		}
 		f.failed(c, err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause.NextBackOff()):
-		}
+		f.rest(ctx, pause.NextBackOff())
+	}
+}
+
+// rest waits for a while, or until the store is regained.
+func (f *Follower) rest(ctx context.Context, d time.Duration) {
+	f.mu.Lock()
+	regained := f.regained
+	f.mu.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-regained:
+	case <-time.After(d):
 	}
 }
 
@@ -226,6 +246,8 @@
 	f.contacted = true
 	if f.lost {
 		f.lost = false
+		close(f.regained)
+		f.regained = make(chan struct{})
 		f.Log.Info().Str("peer", "store").Str("collection", string(c)).Msg("feed: store regained.")
 	}
 }
@@ -237,6 +259,9 @@
 	defer f.mu.Unlock()
 	if !f.lost {
 		f.lost, f.lostAt = true, f.Clock.Now()
+		if f.regained == nil {
+			f.regained = make(chan struct{})
+		}
 		f.Log.Warn().Str("peer", "store").Str("collection", string(c)).Float64("contact-age-ms", float64(f.Clock.Now()-f.contactAt)).
 			Err(err).Msg("feed: store lost.")
 	}
--- a/internal/chivehillhost/member.go
+++ b/internal/chivehillhost/member.go
@@ -14,19 +14,25 @@
 const (
 	// registerPause is the time between two checks that this host is registered.
 	registerPause = 500 * time.Millisecond
+	// maxRegisterPause is the same while the store does not answer.
+	maxRegisterPause = 2 * time.Second
 	// registerTimeout bounds one write of the entry.
 	registerTimeout = 2 * time.Second
 )
 
 // keepRegistered keeps the entry of this host in the store until it leaves.
 func (h *Host) keepRegistered(ctx context.Context) {
+	pause := registerPause
 	for ctx.Err() == nil {
-		if !h.leaving.Load() && !h.registered() {
-			h.register(ctx)
+		switch {
+		case h.leaving.Load() || h.registered() || h.register(ctx):
+			pause = registerPause
+		default:
+			pause = min(maxRegisterPause, 2*pause)
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(registerPause):
+		case <-time.After(pause):
 		}
 	}
 }
@@ -36,15 +42,17 @@
 	return found && e == h.self
 }
 
-func (h *Host) register(ctx context.Context) {
+// register writes the entry of this host and reports whether the store took it.
+func (h *Host) register(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	if err := h.platform.Store.PutHost(ctx, h.self); err != nil {
 		h.log.Warn().Str("step", "register").Str("peer", "store").Err(err).Msg("host: not registered.")
-		return
+		return false
 	}
 	h.log.Info().Msg("host: registered.")
 	h.findHosts(ctx)
+	return true
 }
 
 // findHosts reads the other hosts once, so that this one can follow them.
--- a/internal/chivehillrelay/link.go
+++ b/internal/chivehillrelay/link.go
@@ -224,6 +224,7 @@
 		return p
 	}
 	p.Leaving, p.Down, p.Lost, p.Delegate = l.beat.Leaving, l.beat.Down, l.beat.Lost, l.beat.Delegate
+	p.Searching = l.beat.Searching
 	if l.beat.ContactAgeMs >= 0 {
 		p.ContactAt, p.ContactEver = l.beatAt-l.beat.ContactAgeMs, true
 	}
--- a/internal/chivehillrelay/relay.go
+++ b/internal/chivehillrelay/relay.go
@@ -168,12 +168,12 @@
 	if d.Head && !r.decision.Head {
 		r.headSince = s.Now
 	}
-	r.decision = d
 	watchChanged := d.Watch != r.watching
 	r.watching = d.Watch
 	r.dropUnneeded(s, d)
-	urgent := d.Delegate != s.Delegate || s.Lost != r.lost
+	urgent := d.Delegate != s.Delegate || s.Lost != r.lost || d.Searching != r.decision.Searching
 	r.lost = s.Lost
+	r.decision = d
 	far := s.Now-r.lastFarBeat >= farBeatPeriod
 	due := urgent || s.Now-r.lastBeat >= beatPeriod
 	if due {
@@ -347,6 +347,7 @@
 	}
 	r.mu.Lock()
 	b.Watching, b.Leaving, b.Lost, b.Delegate = r.watching, r.leaving, r.lost, r.decision.Delegate
+	b.Searching = r.decision.Searching
 	for id := range r.decision.Down {
 		b.Down = append(b.Down, id)
 	}
--- a/internal/chivehillrelay/roster.go
+++ b/internal/chivehillrelay/roster.go
@@ -34,6 +34,8 @@
 	contactTime = 2400 * chivehillclock.Millisecond
 	// contactStep is added for each host that tries before this one.
 	contactStep = 400 * chivehillclock.Millisecond
+	// searchTime is added while others look for a host that the store answers.
+	searchTime = 20 * chivehillclock.Second
 	// blindStep is added to settleTime, after which a starting host that learns
 	// nothing from the others tries the store, for each host that tries before this one, at
 	// most maxBlindSteps times.
@@ -60,6 +62,9 @@
 	Lost bool
 	// Delegate is the host that the peer asks to watch in its place.
 	Delegate chivehillid.HostID
+	// Searching is set while the peer, or the host that it follows, looks for a
+	// host that the store answers.
+	Searching bool
 }
 
 // Situation is what a host decides from.
@@ -111,6 +116,9 @@
 	// Delegate is the host that is asked to watch the store in this one's place;
 	// empty if none is.
 	Delegate chivehillid.HostID
+	// Searching is set while this host, or the one it follows, looks for a host
+	// that the store answers.
+	Searching bool
 	// Dial lists the hosts to connect to.
 	Dial []chivehillcatalog.Host
 	// Keep lists the peers whose connections are needed.
@@ -132,20 +140,21 @@
 	if position >= 0 {
 		earlier = own[:position]
 	}
-	source, following := d.follow(s, earlier)
+	source := d.follow(s, earlier)
+	domainSource := source
 	before := len(earlier)
-	d.Head = !following && (s.settled() || s.first(earlier))
+	d.Head = source == nil && (s.settled() || s.first(earlier))
 	if d.Head {
 		d.compare(s)
-		var served bool
-		before, served = s.servedByRegion()
-		d.Watch = !served
+		before, source = s.servedByRegion()
+		d.Watch = source == nil
 	}
+	d.Searching = s.Lost || source != nil && source.Searching
 	if d.Watch && s.Lost {
 		d.Delegate = s.delegate()
 	}
 	d.Watch = d.Watch || s.delegated() || d.tryStore(s, before)
-	d.Down = down(s, source, following)
+	d.Down = down(s, domainSource)
 	return d
 }
 
@@ -195,10 +204,10 @@
 	return s.Now-s.Started >= settleTime
 }
 
-// servedByRegion reports whether a head of an earlier failure domain of the
-// region is reached, which then watches the store for this one as well. before
-// is the number of earlier failure domains.
-func (s Situation) servedByRegion() (before int, served bool) {
+// servedByRegion returns a reached head of an earlier failure domain of the
+// region, which then watches the store for this one as well, nil if there is
+// none. before is the number of earlier failure domains.
+func (s Situation) servedByRegion() (before int, source *PeerState) {
 	earlier := make(map[chivehillid.DomainID]bool)
 	for _, h := range s.Hosts {
 		if h.Region == s.Self.Region && rank(h.Domain) < rank(s.Self.Domain) {
@@ -206,11 +215,14 @@
 		}
 	}
 	for _, p := range s.Peers {
-		if earlier[p.Host.Domain] && p.Live && p.Beaten && !p.Leaving {
-			served = true
+		if !earlier[p.Host.Domain] || !p.Live || !p.Beaten || p.Leaving {
+			continue
+		}
+		if source == nil || rank(p.Host.Domain) < rank(source.Host.Domain) {
+			source = &p
 		}
 	}
-	return len(earlier), served
+	return len(earlier), source
 }
 
 // contact returns the newest contact with the store, own or told by a peer.
@@ -225,13 +237,13 @@
 }
 
 // follow returns the first live host before this one, and dials those before it.
-func (d *Decision) follow(s Situation, earlier []chivehillcatalog.Host) (source PeerState, found bool) {
+func (d *Decision) follow(s Situation, earlier []chivehillcatalog.Host) (source *PeerState) {
 	dials := 0
 	for _, h := range earlier {
 		p, connected := s.Peers[h.ID]
 		if connected && p.Live && p.Beaten && !p.Leaving {
 			d.Keep[h.ID] = true
-			return p, true
+			return &p
 		}
 		if dials < dialsAtOnce {
 			d.Dial = append(d.Dial, h)
@@ -239,16 +251,20 @@
 		}
 		dials++
 	}
-	return PeerState{}, false
+	return nil
 }
 
 // tryStore reports whether a host that follows others has to try the store
-// itself: no host that it hears of reaches it. Hosts try one after the other.
+// itself: no host that it hears of reaches it, and none looks for one that does.
+// Hosts try one after the other.
 func (d *Decision) tryStore(s Situation, before int) bool {
 	if !s.Informed {
 		return s.Now-s.Started > settleTime+chivehillclock.Millis(min(before, maxBlindSteps))*blindStep
 	}
 	wait := contactTime + chivehillclock.Millis(before)*contactStep
+	if d.Searching {
+		wait += searchTime
+	}
 	if !d.ContactEver {
 		return s.Now-s.Started > settleTime+wait
 	}
@@ -294,9 +310,9 @@
 // down returns the hosts that callers must not be sent to: a following host
 // believes the one it follows; a head judges its own failure domain by its
 // connections and believes the peers of the others.
-func down(s Situation, source PeerState, following bool) map[chivehillid.HostID]bool {
+func down(s Situation, source *PeerState) map[chivehillid.HostID]bool {
 	gone := make(map[chivehillid.HostID]bool)
-	if following {
+	if source != nil {
 		for _, id := range source.Down {
 			gone[id] = true
 		}
--- a/internal/chivehillrelay/roster_test.go
+++ b/internal/chivehillrelay/roster_test.go
@@ -93,6 +93,14 @@
 			}
 			return s
 		}, true},
+		{"nobody reaches the store, but the first looks for one that does", second, func(s Situation) Situation {
+			s.ContactAt = old
+			for id, p := range s.Peers {
+				p.ContactAt, p.Searching = old, id == first.ID
+				s.Peers[id] = p
+			}
+			return s
+		}, false},
 		{"just started, nothing known, a host before", second, func(s Situation) Situation {
 			s.Started, s.Informed, s.ContactEver = now-settleTime/2, false, false
 			return s
--- a/internal/chivehillwire/relay.go
+++ b/internal/chivehillwire/relay.go
@@ -33,6 +33,10 @@
 	// The sender tries to watch the store and gets no answers.
 	Lost bool `json:"lost,omitempty"`
 
+	// The sender, or the host that it follows, looks for a host that the store
+	// answers.
+	Searching bool `json:"searching,omitempty"`
+
 	// The sender watches the store itself.
 	Watching bool `json:"watching"`
 }
