fix: a gap in the news no longer counts as known

Cause: a delta from one source raised the revision up to which a collection counted as complete, although earlier changes were missing; watches then went on after them. Change: a delta says since when it is complete; peers with the same digest confirm a revision. Test: TestGapsDoNotCount failed before; TestStreams checks completeness after each step.

--- a/Makefile
+++ b/Makefile
@@ -27,12 +27,12 @@
 	go test -timeout 8m $(SIMULATION)
 
 lint: $(BIN)/gofumpt $(BIN)/golangci-lint
-	@unformatted=$$($(BIN)/gofumpt -l cmd internal pkg schema); \
+	@unformatted=$$($(BIN)/gofumpt -l cmd internal pkg platform schema); \
 	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
 	$(BIN)/golangci-lint run
 
 format: $(BIN)/gofumpt
-	$(BIN)/gofumpt -w cmd internal pkg schema
+	$(BIN)/gofumpt -w cmd internal pkg platform schema
 
 RUNS ?= 200
 SEED ?= 1
--- a/internal/chivehillcatalog/catalog.go
+++ b/internal/chivehillcatalog/catalog.go
@@ -103,6 +103,17 @@
 	return s.records.asOf, s.records.digest
 }
 
+// Confirm takes over up to which revision a collection is complete from a peer
+// that knows the same records.
+func (c *Catalog) Confirm(name Collection, asOf Revision, digest Digest) {
+	s := c.shards[name]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.records.known && s.records.digest == digest {
+		s.records.asOf = max(s.records.asOf, asOf)
+	}
+}
+
 // Snapshot returns a whole collection. Its AsOf is 0 if the collection is not known.
 func (c *Catalog) Snapshot(name Collection) Update {
 	s := c.shards[name]
@@ -118,9 +129,9 @@
 func (c *Catalog) Apply(name Collection, u Update) Update {
 	s := c.shards[name]
 	s.mu.Lock()
-	wasKnown := s.records.known
+	wasKnown, wasAsOf := s.records.known, s.records.asOf
 	changes := s.records.apply(time.Now(), u)
-	fresh := Update{AsOf: s.records.asOf}
+	fresh := Update{Since: wasAsOf, AsOf: s.records.asOf}
 	for _, e := range changes {
 		record := e.record
 		record.Deleted = e.removed
--- a/internal/chivehillcatalog/catalog_test.go
+++ b/internal/chivehillcatalog/catalog_test.go
@@ -61,6 +61,18 @@
 	qt.Assert(t, view.ServersKnown, qt.IsTrue)
 }
 
+func TestConfirm(t *testing.T) {
+	c := New(Options{Decoder: numbers{}, Log: zerolog.Nop()})
+	c.Apply(Hosts, Update{Full: true, AsOf: 3, Records: []Record{{Name: "a", Revision: 2}}})
+	_, digest := c.State(Hosts)
+	c.Confirm(Hosts, 9, digest+1)
+	qt.Assert(t, c.AsOf(Hosts), qt.Equals, Revision(3))
+	c.Confirm(Hosts, 9, digest)
+	qt.Assert(t, c.AsOf(Hosts), qt.Equals, Revision(9))
+	c.Confirm(Servers, 9, 0)
+	qt.Assert(t, c.AsOf(Servers), qt.Equals, Revision(0))
+}
+
 func TestRoutes(t *testing.T) {
 	routes := newTable([]Route{
 		{ID: "short", Hostname: "H", PathPrefix: "/a/"}, {ID: "long", Hostname: "h", PathPrefix: "/a/b/"}, {ID: "other", Hostname: "o", PathPrefix: "/"},
--- a/internal/chivehillcatalog/records.go
+++ b/internal/chivehillcatalog/records.go
@@ -77,7 +77,9 @@
 		}
 		r.known = true
 	}
-	r.asOf = max(r.asOf, u.AsOf)
+	if u.Full || u.Since <= r.asOf {
+		r.asOf = max(r.asOf, u.AsOf)
+	}
 	return changes
 }
 
--- a/internal/chivehillcatalog/records_test.go
+++ b/internal/chivehillcatalog/records_test.go
@@ -63,6 +63,27 @@
 	}
 }
 
+// TestGapsDoNotCount lets news with a gap before it in, but not the claim that
+// everything up to its revision is known.
+func TestGapsDoNotCount(t *testing.T) {
+	tests := []struct {
+		about string
+		since Revision
+		want  Revision
+	}{
+		{"follows on", 5, 9},
+		{"overlaps", 3, 9},
+		{"gap", 6, 5},
+	}
+	for _, tt := range tests {
+		r := newRecords()
+		r.apply(time.Now(), Update{Full: true, AsOf: 5})
+		r.apply(time.Now(), Update{Since: tt.since, AsOf: 9, Records: []Record{{Name: "a", Revision: 9}}})
+		qt.Check(t, r.asOf, qt.Equals, tt.want, qt.Commentf("%s", tt.about))
+		qt.Check(t, r.live, qt.HasLen, 1)
+	}
+}
+
 // truth is the collection as the store has it.
 type truth struct {
 	revision Revision
@@ -79,11 +100,11 @@
 			return
 		}
 		delete(s.live, name)
-		s.history = append(s.history, Update{AsOf: s.revision, Records: []Record{{Name: name, Revision: old, Deleted: true}}})
+		s.history = append(s.history, Update{Since: s.revision - 1, AsOf: s.revision, Records: []Record{{Name: name, Revision: old, Deleted: true}}})
 		return
 	}
 	s.live[name] = s.revision
-	s.history = append(s.history, Update{AsOf: s.revision, Records: []Record{{Name: name, Revision: s.revision}}})
+	s.history = append(s.history, Update{Since: s.revision - 1, AsOf: s.revision, Records: []Record{{Name: name, Revision: s.revision}}})
 }
 
 func (s *truth) list() Update {
@@ -94,6 +115,28 @@
 	return u
 }
 
+// checkComplete fails if the collection lacks a change up to its revision.
+func (s *truth) checkComplete(t *rapid.T, r *records) {
+	at := make(map[string]Revision)
+	for _, u := range s.history {
+		e := u.Records[0]
+		switch {
+		case u.AsOf > r.asOf:
+		case e.Deleted:
+			delete(at, e.Name)
+		default:
+			at[e.Name] = e.Revision
+		}
+	}
+	for name, revision := range at {
+		_, live := r.live[name]
+		_, removed := r.removed[name]
+		if r.live[name].Revision < revision && (live || !removed) {
+			t.Fatalf("complete up to %d, but %s of %d is not known", r.asOf, name, revision)
+		}
+	}
+}
+
 // TestStreams gives news in any order, repeated, lost and stale: a record never
 // goes back, and a final list makes the collection whole.
 func TestStreams(t *testing.T) {
@@ -116,6 +159,9 @@
 					r.apply(now, store.history[rapid.IntRange(0, len(store.history)-1).Draw(t, "event")])
 				}
 			}
+			if r.known {
+				store.checkComplete(t, r)
+			}
 			for name, e := range r.live {
 				if e.Revision < seen[name] {
 					t.Fatalf("record %s went back from %d to %d", name, seen[name], e.Revision)
--- a/internal/chivehillcatalog/types.go
+++ b/internal/chivehillcatalog/types.go
@@ -41,6 +41,8 @@
 type Update struct {
 	// Full is set if Records holds every object of the collection.
 	Full bool
+	// Since is the revision after which Records holds all changes, unless Full.
+	Since Revision
 	// AsOf is the revision up to which the records are complete.
 	AsOf    Revision
 	Records []Record
--- a/internal/chivehillgateway/wait.go
+++ b/internal/chivehillgateway/wait.go
@@ -102,11 +102,10 @@
 }
 
 // offer gives the room at a server to a waiting request, if it has room.
-func (g *Gateway) offer(c chivehillplace.Candidate, l chivehillupstream.Load) bool {
-	if !chivehillplace.HasRoom(l) || c.Cold {
-		return false
+func (g *Gateway) offer(c chivehillplace.Candidate, l chivehillupstream.Load) {
+	if chivehillplace.HasRoom(l) && !c.Cold {
+		g.queues.of(c.Server.Service).Offer(g.Clock.Now(), c, g.Table.Fits)
 	}
-	return g.queues.of(c.Server.Service).Offer(g.Clock.Now(), c, g.Table.Fits)
 }
 
 // lookForRoom asks servers again and again while requests wait.
--- a/internal/chivehillrelay/relay.go
+++ b/internal/chivehillrelay/relay.go
@@ -374,7 +374,7 @@
 }
 
 func encodeUpdate(c chivehillcatalog.Collection, u chivehillcatalog.Update) chivehillwire.RelayUpdate {
-	e := chivehillwire.RelayUpdate{Collection: c, Full: u.Full, AsOf: u.AsOf}
+	e := chivehillwire.RelayUpdate{Collection: c, Full: u.Full, Since: u.Since, AsOf: u.AsOf}
 	for _, record := range u.Records {
 		e.Records = append(e.Records, chivehillwire.RelayRecord{
 			Name: record.Name, Revision: record.Revision, Data: record.Data, Deleted: record.Deleted,
@@ -384,7 +384,7 @@
 }
 
 func decodeUpdate(u chivehillwire.RelayUpdate) chivehillcatalog.Update {
-	d := chivehillcatalog.Update{Full: u.Full, AsOf: u.AsOf}
+	d := chivehillcatalog.Update{Full: u.Full, Since: u.Since, AsOf: u.AsOf}
 	for _, e := range u.Records {
 		d.Records = append(d.Records, chivehillcatalog.Record{Name: e.Name, Revision: e.Revision, Data: e.Data, Deleted: e.Deleted})
 	}
@@ -425,6 +425,7 @@
 		if !slices.Contains(chivehillcatalog.Collections, e.Collection) {
 			continue
 		}
+		r.Catalog.Confirm(e.Collection, e.AsOf, e.Digest)
 		asOf, digest := r.Catalog.State(e.Collection)
 		behind := e.AsOf > asOf && (e.Digest != digest || asOf == 0)
 		if l.lags(e.Collection, behind, asOf == 0, now) {
--- a/internal/chivehillupstream/conn.go
+++ b/internal/chivehillupstream/conn.go
@@ -110,7 +110,7 @@
 	answer, reusable, err = c.read(r, dialect)
 	if err != nil {
 		_ = c.Close()
-		<-written
+		<-written //nolint:errcheck // reading tells why writing failed
 		return answer, false, c.classify(ctx, err)
 	}
 	select {
@@ -121,7 +121,7 @@
 		// must not be taken for another request.
 		reusable = false
 		_ = c.Close()
-		<-written
+		<-written //nolint:errcheck // reading tells why writing failed
 	}
 	c.usedAt = time.Now()
 	c.fresh = false
--- a/internal/chivehillwire/relay.go
+++ b/internal/chivehillwire/relay.go
@@ -120,4 +120,7 @@
 
 	// Records that changed.
 	Records []RelayRecord `json:"records,omitempty"`
+
+	// Revision after which the records are all changes, unless full.
+	Since chivehillcatalog.Revision `json:"since"`
 }
