--- a/cmd/chivehill/main.go
+++ b/cmd/chivehill/main.go
@@ -19,6 +19,7 @@
 type cli struct {
 	Serve      serveCmd      `cmd:"" help:"Run an entry host."`
 	Gateway    gatewayCmd    `cmd:"" help:"Run a host that takes its servers from the platform's store."`
+	Explain    explainCmd    `cmd:"" help:"Tell the way of one request from a host's log."`
 	Check      checkCmd      `cmd:"" help:"Check a settings file without starting."`
 	Jsonschema jsonschemaCmd `cmd:"" help:"Print the JSON Schema of settings or release notes."`
 	Note       noteCmd       `cmd:"" help:"Check, apply and show release notes."`
--- a/schema/schema.go
+++ b/schema/schema.go
@@ -12,3 +12,13 @@
 //
 //go:embed wire.schema.json
 var Wire string
+
+// Gateway is the schema of the settings of a gateway.
+//
+//go:embed gateway.schema.json
+var Gateway string
+
+// Relay is the schema of the messages between gateways.
+//
+//go:embed relay.schema.json
+var Relay string
