--- a/cmd/chivehill/gateway.go
+++ b/cmd/chivehill/gateway.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -39,13 +40,19 @@
 	if err != nil {
 		return usageError{fmt.Errorf("log level: %w", err)}
 	}
-	log, sink := chivehilllog.New(os.Stdout, level, func(int) {})
+	var running atomic.Pointer[chivehillhost.Host]
+	log, sink := chivehilllog.New(os.Stdout, level, func(lines int) {
+		if h := running.Load(); h != nil {
+			h.LogDropped(lines)
+		}
+	})
 	defer func() { _ = sink.Close() }()
 	log = log.With().Str("host", string(settings.Host)).Logger()
 	host, err := chivehillhost.New(settings, newPlatform(settings), log)
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
+	running.Store(host)
 	go host.FollowSettings(ctx, c.Settings, reload)
 	return host.Run(ctx)
 }
--- a/internal/chivehillhost/host.go
+++ b/internal/chivehillhost/host.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"reflect"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -79,6 +80,10 @@
 	budget   *chivehillgateway.RetryBudget
 	front    *chivehillfront.Server
 
+	downMu sync.Mutex
+	// downSince is since when each host is out of reach.
+	downSince map[chivehillid.HostID]chivehillclock.Millis
+
 	leaving atomic.Bool
 	// bounds are those of the newest settings.
 	bounds atomic.Pointer[chivehillwire.GatewayBounds]
@@ -106,8 +111,7 @@
 	h.follower = &chivehillfeed.Follower{Store: p.Store, Catalog: h.catalog, Clock: h.clock, Metrics: h.metrics, Log: log}
 	h.relay = chivehillrelay.New(chivehillrelay.Options{
 		Self: h.self, Seeds: seeds(s.SeedAddresses), Catalog: h.catalog, Clock: h.clock, Log: log, Contact: h.follower.Contact, Lost: h.follower.Lost,
-		Watch:   func(watch bool) { h.follower.Watch(h.watchCtx, watch) },
-		Changed: func() {},
+		Watch: h.watch, Changed: h.downChanged,
 	})
 	h.follower.Fresh = h.relay.Publish
 	h.servers = chivehillgateway.NewServers(p.Dialect)
@@ -242,6 +246,18 @@
 	return slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return a == "" })
 }
 
+// LogDropped counts log lines that were dropped.
+func (h *Host) LogDropped(lines int) { h.metrics.LogDropped.Add(float64(lines)) }
+
+// watch begins or ceases to watch the store.
+func (h *Host) watch(watch bool) {
+	h.metrics.Watching.Set(0)
+	if watch {
+		h.metrics.Watching.Set(1)
+	}
+	h.follower.Watch(h.watchCtx, watch)
+}
+
 func (h *Host) sweep(ctx context.Context) {
 	t := time.NewTicker(sweepPeriod.Duration())
 	defer t.Stop()
@@ -251,6 +267,7 @@
 			return
 		case <-t.C:
 			h.servers.Keep(h.catalog.View().Servers)
+			h.forget(ctx)
 		}
 	}
 }
--- a/internal/chivehillhost/member.go
+++ b/internal/chivehillhost/member.go
@@ -9,6 +9,7 @@
 	"github.com/chivehill/chivehill/internal/chivehillcatalog"
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 	"github.com/chivehill/chivehill/internal/chivehilldirectory"
+	"github.com/chivehill/chivehill/internal/chivehillid"
 )
 
 const (
@@ -65,6 +66,60 @@
 	h.catalog.Apply(chivehillcatalog.Hosts, update)
 }
 
+// forgetTime is how long a host is out of reach before its entry is removed.
+const forgetTime = 30 * chivehillclock.Second
+
+// downChanged notes since when hosts are out of reach.
+func (h *Host) downChanged() {
+	now := h.clock.Now()
+	h.downMu.Lock()
+	defer h.downMu.Unlock()
+	down := make(map[chivehillid.HostID]chivehillclock.Millis)
+	for id := range h.catalog.View().Hosts {
+		if !h.relay.Down(id) {
+			continue
+		}
+		down[id] = now
+		if since, found := h.downSince[id]; found {
+			down[id] = since
+		}
+	}
+	h.downSince = down
+	h.metrics.Down.Set(float64(len(down)))
+}
+
+// forget removes the entries of hosts that have been out of reach for long. Only
+// a host that watches the store does so, for its own failure domain.
+func (h *Host) forget(ctx context.Context) {
+	if !h.relay.Watching() {
+		return
+	}
+	now := h.clock.Now()
+	hosts := h.catalog.View().Hosts
+	h.downMu.Lock()
+	defer h.downMu.Unlock()
+	for id, since := range h.downSince {
+		if now-since < forgetTime || hosts[id].Region != h.self.Region {
+			continue
+		}
+		delete(h.downSince, id)
+		h.tasks.Go(func() { h.removeEntry(ctx, id) })
+	}
+}
+
+// removeEntry removes the entry of a host as it is known.
+func (h *Host) removeEntry(ctx context.Context, id chivehillid.HostID) {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	for _, e := range h.catalog.Snapshot(chivehillcatalog.Hosts).Records {
+		if e.Name != string(id) {
+			continue
+		}
+		err := h.platform.Store.RemoveHost(ctx, id, e.Revision)
+		h.log.Info().Str("entry", string(id)).Str("peer", "store").Err(err).Msg("host: entry removed.")
+	}
+}
+
 // live returns the hosts that callers may be sent to.
 func (h *Host) live() []chivehillcatalog.Host {
 	var hosts []chivehillcatalog.Host
--- a/internal/chivehillhost/stop.go
+++ b/internal/chivehillhost/stop.go
@@ -5,7 +5,6 @@
 	"net"
 	"time"
 
-	"github.com/chivehill/chivehill/internal/chivehillcatalog"
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 )
 
@@ -41,16 +40,5 @@
 	const timeout = time.Second
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	revision := chivehillcatalog.Revision(0)
-	for _, e := range h.catalog.Snapshot(chivehillcatalog.Hosts).Records {
-		if e.Name == string(h.self.ID) {
-			revision = e.Revision
-		}
-	}
-	if revision == 0 {
-		return
-	}
-	if err := h.platform.Store.RemoveHost(ctx, h.self.ID, revision); err != nil {
-		h.log.Warn().Str("step", "deregister").Str("peer", "store").Err(err).Msg("host: entry not removed.")
-	}
+	h.removeEntry(ctx, h.self.ID)
 }
--- a/internal/chivehillmetrics/gateway.go
+++ b/internal/chivehillmetrics/gateway.go
@@ -27,6 +27,12 @@
 	Seconds *prometheus.HistogramVec
 	// Version is the version of the configuration in force.
 	Version prometheus.Gauge
+	// LogDropped counts log lines that a slow sink did not take in time.
+	LogDropped prometheus.Counter
+	// Down is the number of hosts that callers are not sent to.
+	Down prometheus.Gauge
+	// Watching is 1 while this host watches the store.
+	Watching prometheus.Gauge
 }
 
 // NewGateway registers all metrics. Each refusal and retry reason starts at zero.
@@ -41,9 +47,12 @@
 		Seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: "chivehill", Name: "request_seconds", Help: "Time from arrival to answer.", Buckets: secondsBuckets,
 		}, []string{"route"}),
-		Version: gauge("configuration_version", "Configuration in force."),
+		Version:    gauge("configuration_version", "Configuration in force."),
+		LogDropped: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "chivehill", Name: "log_dropped_total", Help: "Log lines dropped."}),
+		Down:       gauge("hosts_down", "Hosts that callers are not sent to."),
+		Watching:   gauge("watching", "1 while this host watches the store."),
 	}
-	m.Registry.MustRegister(m.Requests, m.Refusals, m.Retries, m.Probes, m.StoreCalls, m.Seconds, m.Version,
+	m.Registry.MustRegister(m.Requests, m.Refusals, m.Retries, m.Probes, m.StoreCalls, m.Seconds, m.Version, m.LogDropped, m.Down, m.Watching,
 		collectors.NewGoCollector())
 	for _, r := range chivehillreason.Refusals {
 		m.Refusals.WithLabelValues(string(r), string(chivehillreason.NotRun))
--- a/internal/chivehillrelay/relay.go
+++ b/internal/chivehillrelay/relay.go
@@ -121,6 +121,13 @@
 	return r.decision.Down[id]
 }
 
+// Watching reports whether this host watches the store.
+func (r *Relay) Watching() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.watching
+}
+
 // Contact returns the newest contact with the store, own or told by a peer.
 func (r *Relay) Contact() (at chivehillclock.Millis, ever bool) {
 	r.mu.Lock()
