--- a/internal/chivehillupstream/conn.go
+++ b/internal/chivehillupstream/conn.go
@@ -24,6 +24,10 @@
 	keepMargin = time.Second
 	// defaultKeep is the time for which a connection is kept if the server does not say.
 	defaultKeep = 8 * time.Second
+	// smallBody is the size up to which a request is sent before its answer is read.
+	smallBody = 64 << 10
+	// writeGrace is how long sending may go on after the answer.
+	writeGrace = 5 * time.Millisecond
 	// keepAlive parameters end a connection whose peer is gone.
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
@@ -105,29 +109,49 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = c.SetDeadline(deadline)
 	}
-	written := make(chan error, 1)
-	go func() { written <- c.write(r) }()
+	written := c.startWrite(r)
 	answer, reusable, err = c.read(r, dialect)
 	if err != nil {
 		_ = c.Close()
 		<-written //nolint:errcheck // reading tells why writing failed
 		return answer, false, c.classify(ctx, err)
 	}
-	select {
-	case writeErr := <-written:
-		reusable = reusable && writeErr == nil
-	default:
-		// The answer came before the request was sent whole: the rest of the body
-		// must not be taken for another request.
+	if !c.finishWrite(written) {
 		reusable = false
-		_ = c.Close()
-		<-written //nolint:errcheck // reading tells why writing failed
 	}
 	c.usedAt = time.Now()
 	c.fresh = false
 	return answer, reusable && stop(), nil
 }
 
+// startWrite sends a request, a large one in the background: the server may
+// answer before it has read all of it.
+func (c *conn) startWrite(r *Request) <-chan error {
+	written := make(chan error, 1)
+	if len(r.Body) <= smallBody {
+		written <- c.write(r)
+		return written
+	}
+	go func() { written <- c.write(r) }()
+	return written
+}
+
+// finishWrite reports whether the request was sent whole before its answer
+// came. If not, the connection ends: the rest of the body must not be taken for
+// another request.
+func (c *conn) finishWrite(written <-chan error) bool {
+	timer := time.NewTimer(writeGrace)
+	defer timer.Stop()
+	select {
+	case err := <-written:
+		return err == nil
+	case <-timer.C:
+	}
+	_ = c.Close()
+	<-written //nolint:errcheck // the answer is whole
+	return false
+}
+
 func (c *conn) classify(ctx context.Context, err error) error {
 	peer := c.RemoteAddr().String()
 	if ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded) {
