--- a/internal/chivehillgateway/gateway.go
+++ b/internal/chivehillgateway/gateway.go
@@ -114,7 +114,7 @@
 	target := pickTarget(route, rand.Float64())
 	c := &call{
 		request: r, id: id, route: route, service: view.Configuration.Services[target], version: view.Configuration.Version,
-		deadline: g.deadline(r, route), work: g.work.Typical(route.ID, route.Objective),
+		deadline: g.deadline(r, route), work: g.work.Typical(route.ID, usualBound(route)),
 	}
 	g.Budget.Earn(target)
 	response := g.run(ctx, c)
@@ -144,6 +144,17 @@
 	return r.Arrived + wait
 }
 
+// usualBound returns the time within which a route's answers usually have to come.
+func usualBound(route chivehillcatalog.Route) chivehillclock.Millis {
+	switch {
+	case route.Objective <= 0:
+		return route.Timeout
+	case route.Timeout <= 0:
+		return route.Objective
+	}
+	return min(route.Objective, route.Timeout)
+}
+
 // hostname returns the name of a host without its port.
 func hostname(host string) string {
 	for i := len(host) - 1; i >= 0; i-- {
--- a/internal/chivehillgateway/send.go
+++ b/internal/chivehillgateway/send.go
@@ -86,7 +86,7 @@
 		g.offer(candidate, answer.Remarks.Load)
 	}
 	if result.answer != nil && chivehillplace.HasRoom(chosen.opinion.Load) {
-		g.work.Observe(c.route.ID, c.route.Objective, g.Clock.Now()-c.sentAt)
+		g.work.Observe(c.route.ID, usualBound(c.route), g.Clock.Now()-c.sentAt)
 	}
 	if result.answer == nil {
 		g.logAttempt(c, chosen, result.reason, err)
--- a/internal/chivehillplace/work.go
+++ b/internal/chivehillplace/work.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// objectivePart is the part of a route's objective that its work is taken to
-	// need until some was seen.
-	objectivePart = 0.4
+	// boundPart is the part of the time that a route's answers have that its work
+	// is taken to need until some was seen.
+	boundPart = 0.4
 	// workStep is the part by which the median moves with each request.
 	workStep = 0.02
 )
@@ -28,22 +28,22 @@
 }
 
 // Typical returns how long the work of a route takes.
-func (w *Work) Typical(route chivehillid.RouteID, objective chivehillclock.Millis) chivehillclock.Millis {
+func (w *Work) Typical(route chivehillid.RouteID, bound chivehillclock.Millis) chivehillclock.Millis {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if seen, found := w.median[route]; found {
 		return seen
 	}
-	return objective * objectivePart
+	return bound * boundPart
 }
 
 // Observe takes the time of a request over that found room at once.
-func (w *Work) Observe(route chivehillid.RouteID, objective, took chivehillclock.Millis) {
+func (w *Work) Observe(route chivehillid.RouteID, bound, took chivehillclock.Millis) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	median, found := w.median[route]
 	if !found {
-		median = objective * objectivePart
+		median = bound * boundPart
 	}
 	if took > median {
 		median *= 1 + workStep
