--- a/Makefile
+++ b/Makefile
@@ -4,20 +4,22 @@
 GOFUMPT_VERSION := v0.12.0
 GOLANGCI_LINT_VERSION := v2.15.0
 
-.PHONY: build run test unit lint format generate soak bench capacity entry
+.PHONY: build run test unit lint fuzz soak-short format generate soak random bench capacity entry
 
 # Builds all programs.
 build:
 	go build -o $(BIN)/chivehill ./cmd/chivehill
 	go build -o $(BIN)/chivehill-standin ./cmd/chivehill-standin
 	go build -o $(BIN)/chivehill-bench ./cmd/chivehill-bench
+	go build -o $(BIN)/chivehill-soak ./cmd/chivehill-soak
 
 # Runs the whole path as processes on loopback and judges it.
 run: build
 	scripts/demo.sh
 
-# Runs all tests, the formatter check and the linter.
-test: build unit lint
+# Runs all tests, the formatter check and the linter, and short runs of the
+# fuzzers and the fault soak.
+test: build unit lint fuzz soak-short
 
 # The randomised runs are single-threaded, so the race detector would only slow them down.
 SIMULATION := github.com/chivehill/chivehill/internal/chivehillsim
@@ -36,11 +38,28 @@
 
 RUNS ?= 200
 SEED ?= 1
+LENGTH ?= 20s
+FUZZTIME ?= 2s
 
-# Randomised runs with faults; a failing seed is printed.
-soak: build
+# Randomised runs of the decision packages with faults; a failing seed is printed.
+random: build
 	$(BIN)/chivehill-bench soak --runs $(RUNS) --seed $(SEED)
 
+# Real processes under faults from outside; a failing seed is printed.
+soak: build
+	$(BIN)/chivehill-soak --seed $(SEED) --length $(LENGTH)
+
+soak-short: build
+	$(BIN)/chivehill-soak --seed 1 --length 8s
+
+# Fuzzes everything that is decoded, each target for FUZZTIME.
+fuzz:
+	go test -run '^$$' -fuzz FuzzEntries -fuzztime $(FUZZTIME) ./platform
+	go test -run '^$$' -fuzz FuzzAnswers -fuzztime $(FUZZTIME) ./internal/chivehillupstream
+	go test -run '^$$' -fuzz FuzzMessages -fuzztime $(FUZZTIME) ./internal/chivehillrelay
+	go test -run '^$$' -fuzz FuzzGatewaySettings -fuzztime $(FUZZTIME) ./internal/chivehillsettings
+	go test -run '^$$' -fuzz FuzzExplain -fuzztime $(FUZZTIME) ./internal/chivehillexplain
+
 # The policy under a virtual clock.
 bench: build
 	$(BIN)/chivehill-bench policy
