--- a/internal/chivehillhost/host.go
+++ b/internal/chivehillhost/host.go
@@ -6,9 +6,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"reflect"
 	"slices"
@@ -27,6 +25,7 @@
 	"github.com/chivehill/chivehill/internal/chivehillfront"
 	"github.com/chivehill/chivehill/internal/chivehillgateway"
 	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehilllistener"
 	"github.com/chivehill/chivehill/internal/chivehillmetrics"
 	"github.com/chivehill/chivehill/internal/chivehillplace"
 	"github.com/chivehill/chivehill/internal/chivehillrelay"
@@ -139,7 +138,7 @@
 // Run serves until ctx ends and then stops gracefully.
 func (h *Host) Run(ctx context.Context) error {
 	s := h.settings
-	listeners, err := listen(s.CallerAddress, s.ReadyAddress, s.DirectoryAddress, s.MetricsAddress, s.PeerAddress)
+	listeners, err := chivehilllistener.Open(s.CallerAddress, s.ReadyAddress, s.DirectoryAddress, s.MetricsAddress, s.PeerAddress)
 	if err != nil {
 		return err
 	}
@@ -156,7 +155,7 @@
 		{Handler: h.relay, ReadHeaderTimeout: serviceTimeout},
 	}
 	for i, e := range services {
-		h.tasks.Go(func() { h.serve(e, listeners[i+1]) })
+		h.tasks.Go(func() { chivehilllistener.Serve(e, listeners[i+1], h.log) })
 	}
 	h.log.Info().Str("incarnation", string(h.self.Incarnation)).Str("domain", string(h.self.Domain)).Msg("host: started.")
 	<-ctx.Done()
@@ -172,32 +171,10 @@
 	return nil
 }
 
-func listen(addresses ...string) ([]net.Listener, error) {
-	var config net.ListenConfig
-	var listeners []net.Listener
-	for _, a := range addresses {
-		l, err := config.Listen(context.Background(), "tcp", a)
-		if err != nil {
-			for _, open := range listeners {
-				_ = open.Close()
-			}
-			return nil, fmt.Errorf("listen on %s: %w", a, err)
-		}
-		listeners = append(listeners, l)
-	}
-	return listeners, nil
-}
-
 func (h *Host) service(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: serviceTimeout, ReadTimeout: serviceTimeout}
 }
 
-func (h *Host) serve(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		h.log.Error().Str("step", "serve").Str("address", l.Addr().String()).Err(err).Msg("host: listener failed.")
-	}
-}
-
 // View implements chivehillgateway.Beliefs.
 func (h *Host) View() chivehillcatalog.View { return h.catalog.View() }
 
--- a/internal/chivehillnode/node.go
+++ b/internal/chivehillnode/node.go
@@ -6,9 +6,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -27,6 +25,7 @@
 	"github.com/chivehill/chivehill/internal/chivehillid"
 	"github.com/chivehill/chivehill/internal/chivehillinvariant"
 	"github.com/chivehill/chivehill/internal/chivehillkey"
+	"github.com/chivehill/chivehill/internal/chivehilllistener"
 	"github.com/chivehill/chivehill/internal/chivehillmember"
 	"github.com/chivehill/chivehill/internal/chivehillmetrics"
 	"github.com/chivehill/chivehill/internal/chivehillpeer"
@@ -181,7 +180,7 @@
 	peerMux.Handle(chivehillpeer.Path, n.mesh)
 	peers := n.server(peerMux)
 	operators := n.server(query)
-	listeners, err := listen(n.settings.CallerAddress, n.settings.PeerAddress, n.settings.OperatorAddress)
+	listeners, err := chivehilllistener.Open(n.settings.CallerAddress, n.settings.PeerAddress, n.settings.OperatorAddress)
 	if err != nil {
 		return err
 	}
@@ -189,7 +188,7 @@
 	n.cancel = cancel
 	n.startTasks(work)
 	for i, s := range []*http.Server{callers, peers, operators} {
-		n.tasks.Go(func() { n.serve(s, listeners[i]) })
+		n.tasks.Go(func() { chivehilllistener.Serve(s, listeners[i], n.log) })
 	}
 	n.log.Info().Str("incarnation", string(n.self.Incarnation)).Msg("node: started.")
 	<-ctx.Done()
@@ -204,34 +203,12 @@
 	return nil
 }
 
-func listen(addresses ...string) ([]net.Listener, error) {
-	var config net.ListenConfig
-	var listeners []net.Listener
-	for _, a := range addresses {
-		l, err := config.Listen(context.Background(), "tcp", a)
-		if err != nil {
-			for _, open := range listeners {
-				_ = open.Close()
-			}
-			return nil, fmt.Errorf("listen on %s: %w", a, err)
-		}
-		listeners = append(listeners, l)
-	}
-	return listeners, nil
-}
-
 func (n *Node) server(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 }
 
-func (n *Node) serve(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		n.log.Error().Str("step", "serve").Str("address", l.Addr().String()).Err(err).Msg("node: listener failed.")
-	}
-}
-
 // startTasks starts what runs beside the servers.
 func (n *Node) startTasks(ctx context.Context) {
 	n.tasks.Go(func() { n.sync.FollowConfiguration(ctx) })
