--- a/internal/chivehillgateway/wait.go
+++ b/internal/chivehillgateway/wait.go
@@ -48,10 +48,7 @@
 		return chosen
 	}
 	chosen.release()
-	if room := g.wait(ctx, c); room != nil {
-		return room
-	}
-	return nil
+	return g.wait(ctx, c)
 }
 
 // mayOvertake reports whether a request may go to a server although others
--- /dev/null
+++ b/internal/chivehillrelay/news.go
@@ -0,0 +1,91 @@
+package chivehillrelay
+
+import (
+	"slices"
+
+	"github.com/chivehill/chivehill/internal/chivehillcatalog"
+	"github.com/chivehill/chivehill/internal/chivehillwire"
+)
+
+// Publish tells news to the peers: the news itself to those of the region that
+// follow this host, and only that there is some to those of other regions.
+func (r *Relay) Publish(c chivehillcatalog.Collection, fresh chivehillcatalog.Update) {
+	if len(fresh.Records) == 0 {
+		return
+	}
+	update := encodeUpdate(c, fresh)
+	for _, l := range r.all() {
+		if l.host.Region != r.Self.Region {
+			r.addBeat(l)
+			continue
+		}
+		if l.host.Domain != r.Self.Domain || !l.dialed {
+			l.add(func(m *chivehillwire.RelayMessage) { m.Updates = append(m.Updates, update) })
+		}
+	}
+}
+
+func encodeUpdate(c chivehillcatalog.Collection, u chivehillcatalog.Update) chivehillwire.RelayUpdate {
+	e := chivehillwire.RelayUpdate{Collection: c, Full: u.Full, Since: u.Since, AsOf: u.AsOf}
+	for _, record := range u.Records {
+		e.Records = append(e.Records, chivehillwire.RelayRecord{
+			Name: record.Name, Revision: record.Revision, Data: record.Data, Deleted: record.Deleted,
+		})
+	}
+	return e
+}
+
+func decodeUpdate(u chivehillwire.RelayUpdate) chivehillcatalog.Update {
+	d := chivehillcatalog.Update{Full: u.Full, Since: u.Since, AsOf: u.AsOf}
+	for _, e := range u.Records {
+		d.Records = append(d.Records, chivehillcatalog.Record{Name: e.Name, Revision: e.Revision, Data: e.Data, Deleted: e.Deleted})
+	}
+	return d
+}
+
+// receive acts on one message of a peer.
+func (r *Relay) receive(l *link, m chivehillwire.RelayMessage) {
+	for _, u := range m.Updates {
+		if !slices.Contains(chivehillcatalog.Collections, u.Collection) {
+			continue
+		}
+		r.Publish(u.Collection, r.Catalog.Apply(u.Collection, decodeUpdate(u)))
+	}
+	for _, c := range m.Want {
+		r.answerWant(l, c)
+	}
+	r.catchUp(l)
+}
+
+func (r *Relay) answerWant(l *link, c chivehillcatalog.Collection) {
+	if !slices.Contains(chivehillcatalog.Collections, c) {
+		return
+	}
+	snapshot := r.Catalog.Snapshot(c)
+	if snapshot.AsOf == 0 {
+		return
+	}
+	update := encodeUpdate(c, snapshot)
+	l.add(func(m *chivehillwire.RelayMessage) { m.Updates = append(m.Updates, update) })
+}
+
+// catchUp asks a peer for the collections that it knows more of.
+func (r *Relay) catchUp(l *link) {
+	now := r.Clock.Now()
+	var want []chivehillcatalog.Collection
+	for _, e := range l.collections() {
+		if !slices.Contains(chivehillcatalog.Collections, e.Collection) {
+			continue
+		}
+		r.Catalog.Confirm(e.Collection, e.AsOf, e.Digest)
+		asOf, digest := r.Catalog.State(e.Collection)
+		behind := e.AsOf > asOf && (e.Digest != digest || asOf == 0)
+		if l.lags(e.Collection, behind, asOf == 0, now) {
+			want = append(want, e.Collection)
+		}
+	}
+	if len(want) == 0 {
+		return
+	}
+	l.add(func(m *chivehillwire.RelayMessage) { m.Want = append(m.Want, want...) })
+}
