feat: a request after which two servers were down is sent to no third

Cause: the gateway ended such a request at its attempts, but each return of the caller reached more servers.

--- a/internal/chivehillgateway/gateway.go
+++ b/internal/chivehillgateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/chivehill/chivehill/internal/chivehillmetrics"
 	"github.com/chivehill/chivehill/internal/chivehillplace"
 	"github.com/chivehill/chivehill/internal/chivehillreason"
+	"github.com/chivehill/chivehill/internal/chivehillsuspect"
 	"github.com/chivehill/chivehill/internal/chivehillupstream"
 )
 
@@ -46,10 +47,16 @@
 	Table   *chivehillplace.Table
 	Servers *Servers
 	Budget  *RetryBudget
-	Dialect Dialect
-	Clock   *chivehillclock.Clock
-	Metrics *chivehillmetrics.Gateway
-	Log     zerolog.Logger
+	// Suspects are the requests after which servers were down.
+	Suspects *chivehillsuspect.Table
+	// Self names this host to Suspects.
+	Self chivehillid.HostID
+	// Suspected is called when this host has seen one more server go down.
+	Suspected func(f chivehillid.Fingerprint, kills int)
+	Dialect   Dialect
+	Clock     *chivehillclock.Clock
+	Metrics   *chivehillmetrics.Gateway
+	Log       zerolog.Logger
 }
 
 // Gateway answers the requests of callers. It is safe for concurrent use.
--- a/internal/chivehillgateway/send.go
+++ b/internal/chivehillgateway/send.go
@@ -26,6 +26,9 @@
 func (g *Gateway) run(ctx context.Context, c *call) chivehillfront.Response {
 	last := step{reason: chivehillreason.NoServer}
 	for {
+		if g.isSuspect(c) {
+			return g.refuse(c, chivehillreason.Suspect, comeBackPart*(c.deadline-g.Clock.Now()))
+		}
 		if ctx.Err() != nil {
 			return g.refuse(c, chivehillreason.CallerGone, 0)
 		}
@@ -91,6 +94,9 @@
 	if result.answer == nil {
 		g.logAttempt(c, chosen, result.reason, err)
 	}
+	if result.reason == chivehillreason.ServerBroke {
+		go g.checkCrash(c, candidate.Server)
+	}
 	return result
 }
 
--- a/internal/chivehillhost/host.go
+++ b/internal/chivehillhost/host.go
@@ -29,6 +29,7 @@
 	"github.com/chivehill/chivehill/internal/chivehillmetrics"
 	"github.com/chivehill/chivehill/internal/chivehillplace"
 	"github.com/chivehill/chivehill/internal/chivehillrelay"
+	"github.com/chivehill/chivehill/internal/chivehillsuspect"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
 )
 
@@ -77,6 +78,7 @@
 	table    *chivehillplace.Table
 	servers  *chivehillgateway.Servers
 	budget   *chivehillgateway.RetryBudget
+	suspects *chivehillsuspect.Table
 	front    *chivehillfront.Server
 
 	downMu sync.Mutex
@@ -108,14 +110,17 @@
 	h.catalog = chivehillcatalog.New(chivehillcatalog.Options{Decoder: p.Decoder, Log: log, Changed: h.changed})
 	h.watchCtx, h.unwatch = context.WithCancel(context.Background())
 	h.follower = &chivehillfeed.Follower{Store: p.Store, Catalog: h.catalog, Clock: h.clock, Metrics: h.metrics, Log: log}
+	h.suspects = chivehillsuspect.New()
 	h.relay = chivehillrelay.New(chivehillrelay.Options{
-		Self: h.self, Seeds: seeds(s.SeedAddresses), Catalog: h.catalog, Clock: h.clock, Log: log, Contact: h.follower.Contact, Lost: h.follower.Lost,
+		Suspects: h.suspects,
+		Self:     h.self, Seeds: seeds(s.SeedAddresses), Catalog: h.catalog, Clock: h.clock, Log: log, Contact: h.follower.Contact, Lost: h.follower.Lost,
 		Watch: h.watch, Changed: h.downChanged,
 	})
 	h.follower.Fresh = h.relay.Publish
 	h.servers = chivehillgateway.NewServers(p.Dialect)
 	h.budget = chivehillgateway.NewRetryBudget(s.Bounds.RetryRatio, s.Bounds.RetrySlack, 1)
 	gateway := chivehillgateway.New(chivehillgateway.Options{
+		Suspects: h.suspects, Self: s.Host, Suspected: h.relay.Suspect,
 		Beliefs: h, Table: h.table, Servers: h.servers, Budget: h.budget, Dialect: p.Dialect, Clock: h.clock, Metrics: h.metrics, Log: log,
 	})
 	h.front = &chivehillfront.Server{
--- a/internal/chivehillrelay/link_test.go
+++ b/internal/chivehillrelay/link_test.go
@@ -10,6 +10,7 @@
 	"github.com/chivehill/chivehill/internal/chivehillcatalog"
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillsuspect"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
 )
 
@@ -37,7 +38,7 @@
 		Self: chivehillcatalog.Host{ID: "self", Domain: "d", Region: "r"}, Clock: chivehillclock.NewManual(), Log: zerolog.Nop(),
 		Catalog: chivehillcatalog.New(chivehillcatalog.Options{Decoder: plainDecoder{}, Log: zerolog.Nop()}),
 		Contact: func() (chivehillclock.Millis, bool) { return 0, false }, Lost: func() bool { return false },
-		Watch: func(bool) {}, Changed: func() {},
+		Watch: func(bool) {}, Changed: func() {}, Suspects: chivehillsuspect.New(),
 	})
 }
 
--- a/internal/chivehillrelay/news.go
+++ b/internal/chivehillrelay/news.go
@@ -4,6 +4,8 @@
 	"slices"
 
 	"github.com/chivehill/chivehill/internal/chivehillcatalog"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillsuspect"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
 )
 
@@ -51,6 +53,9 @@
 		}
 		r.Publish(u.Collection, r.Catalog.Apply(u.Collection, decodeUpdate(u)))
 	}
+	for _, s := range m.Suspects {
+		r.hearSuspect(l, s)
+	}
 	for _, c := range m.Want {
 		r.answerWant(l, c)
 	}
@@ -89,3 +94,27 @@
 	}
 	l.add(func(m *chivehillwire.RelayMessage) { m.Want = append(m.Want, want...) })
 }
+
+// Suspect tells all peers that servers were down after a request.
+func (r *Relay) Suspect(f chivehillid.Fingerprint, kills int) {
+	r.tellSuspect(nil, chivehillwire.RelaySuspect{Fingerprint: f, Host: r.Self.ID, Kills: kills, LeftMs: chivehillsuspect.Hold})
+}
+
+// hearSuspect takes over what a peer tells of a request and passes it on if it
+// is news.
+func (r *Relay) hearSuspect(from *link, s chivehillwire.RelaySuspect) {
+	now := r.Clock.Now()
+	before := r.Suspects.Kills(now, s.Fingerprint)
+	r.Suspects.Merge(now, s.Fingerprint, s.Host, s.Kills, s.LeftMs)
+	if r.Suspects.Kills(now, s.Fingerprint) > before {
+		r.tellSuspect(from, s)
+	}
+}
+
+func (r *Relay) tellSuspect(except *link, s chivehillwire.RelaySuspect) {
+	for _, l := range r.all() {
+		if l != except {
+			l.add(func(m *chivehillwire.RelayMessage) { m.Suspects = append(m.Suspects, s) })
+		}
+	}
+}
--- a/internal/chivehillrelay/relay.go
+++ b/internal/chivehillrelay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/chivehill/chivehill/internal/chivehillcatalog"
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillsuspect"
 )
 
 const (
@@ -28,11 +29,13 @@
 
 // Options of a relay.
 type Options struct {
-	Self    chivehillcatalog.Host
-	Seeds   []string
-	Catalog *chivehillcatalog.Catalog
-	Clock   *chivehillclock.Clock
-	Log     zerolog.Logger
+	Self  chivehillcatalog.Host
+	Seeds []string
+	// Suspects are the requests after which servers were down.
+	Suspects *chivehillsuspect.Table
+	Catalog  *chivehillcatalog.Catalog
+	Clock    *chivehillclock.Clock
+	Log      zerolog.Logger
 	// Contact returns when the store answered this host last.
 	Contact func() (at chivehillclock.Millis, ever bool)
 	// Lost reports whether this host watches the store and has got no answers for a while.
--- a/internal/chivehillwire/relay.go
+++ b/internal/chivehillwire/relay.go
@@ -73,6 +73,9 @@
 	// Hello corresponds to the JSON schema field "hello".
 	Hello *RelayHello `json:"hello,omitempty"`
 
+	// Requests after which servers were down.
+	Suspects []RelaySuspect `json:"suspects,omitempty"`
+
 	// News about collections, in order.
 	Updates []RelayUpdate `json:"updates,omitempty"`
 
@@ -107,6 +110,21 @@
 	Digest chivehillcatalog.Digest `json:"digest"`
 }
 
+// A request after which servers were down.
+type RelaySuspect struct {
+	// Hash of the request.
+	Fingerprint chivehillid.Fingerprint `json:"fingerprint"`
+
+	// Host that saw it.
+	Host chivehillid.HostID `json:"host"`
+
+	// Servers that were down after it, as that host saw.
+	Kills int `json:"kills"`
+
+	// How much longer it is remembered.
+	LeftMs chivehillclock.Millis `json:"left-ms"`
+}
+
 // News about one collection.
 type RelayUpdate struct {
 	// Revision up to which the records are complete.
