refactor: what the change wrote twice or for nothing

Cause: read again as a whole, the change built a heartbeat for each peer anew (each time from all peers), hashed a request's body at each attempt, had two tests for success, a wrapper around EndToEnd, the end of a lost store in two places, counters of the pool that nobody read, a field of the table that nobody used, and the name of the platform's settings variable in cmd. Change: one heartbeat for all peers that are due, one fingerprint a request, one of each of the others; the dead code is gone; the variable's name stands in platform/.

--- a/cmd/chivehill/gateway.go
+++ b/cmd/chivehill/gateway.go
@@ -23,7 +23,7 @@
 // gatewayCmd runs a host that takes its servers from the platform's store,
 // until SIGTERM or SIGINT, then stops gracefully.
 type gatewayCmd struct {
-	Settings string `required:"" type:"existingfile" env:"CHIVEHILL_SETTINGS" help:"Settings file (JSON)."`
+	Settings string `required:"" type:"existingfile" env:"${settings_variable}" help:"Settings file (JSON)."`
 }
 
 // Run implements the command.
--- a/cmd/chivehill/main.go
+++ b/cmd/chivehill/main.go
@@ -7,6 +7,8 @@
 	"os"
 
 	"github.com/alecthomas/kong"
+
+	chivehillplatform "github.com/chivehill/chivehill/platform"
 )
 
 // Exit codes.
@@ -44,7 +46,8 @@
 
 func main() {
 	var c cli
-	parser := kong.Must(&c, kong.Name("chivehill"), kong.Description(description), kong.UsageOnError())
+	parser := kong.Must(&c, kong.Name("chivehill"), kong.Description(description), kong.UsageOnError(),
+		kong.Vars{"settings_variable": chivehillplatform.SettingsVariable})
 	ctx, err := parser.Parse(os.Args[1:])
 	if err != nil {
 		parser.Errorf("%s", err)
--- a/internal/chivehillfeed/follow.go
+++ b/internal/chivehillfeed/follow.go
@@ -84,11 +84,7 @@
 		f.stop = nil
 	}
 	f.mu.Lock()
-	if f.lost {
-		f.lost = false
-		close(f.regained)
-		f.regained = make(chan struct{})
-	}
+	f.clearLost()
 	f.mu.Unlock()
 	if !watch {
 		return
@@ -244,14 +240,23 @@
 	defer f.mu.Unlock()
 	f.contactAt = f.Clock.Now()
 	f.contacted = true
-	if f.lost {
-		f.lost = false
-		close(f.regained)
-		f.regained = make(chan struct{})
+	if f.clearLost() {
 		f.Log.Info().Str("peer", "store").Str("collection", string(c)).Msg("feed: store regained.")
 	}
 }
 
+// clearLost ends the pauses of failed calls and reports whether the store was
+// lost. The caller holds f.mu.
+func (f *Follower) clearLost() bool {
+	if !f.lost {
+		return false
+	}
+	f.lost = false
+	close(f.regained)
+	f.regained = make(chan struct{})
+	return true
+}
+
 // failed records that a call failed. If the watch that is sure to end did not,
 // the other watches are begun anew: their connections may be mute as well.
 func (f *Follower) failed(c chivehillcatalog.Collection, err error) {
--- a/internal/chivehillfront/body.go
+++ b/internal/chivehillfront/body.go
@@ -27,7 +27,7 @@
 	hasBody := r.ContentLength > 0 || len(r.TransferEncoding) > 0 || r.Header.Get("Content-Length") != ""
 	last := r.Close || c.server.closing.Load()
 	request := &Request{
-		Method: r.Method, URI: r.RequestURI, Path: r.URL.Path, Host: r.Host, Header: endToEnd(r.Header), Body: body, HasBody: hasBody,
+		Method: r.Method, URI: r.RequestURI, Path: r.URL.Path, Host: r.Host, Header: EndToEnd(r.Header), Body: body, HasBody: hasBody,
 		Arrived: c.server.Clock.Now(), Peer: c.raw.RemoteAddr().String(),
 	}
 	return &exchange{
--- a/internal/chivehillfront/write.go
+++ b/internal/chivehillfront/write.go
@@ -16,8 +16,8 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
 }
 
-// endToEnd returns the header fields that do not concern one connection only.
-func endToEnd(h http.Header) http.Header {
+// EndToEnd returns the header fields that do not concern one connection only.
+func EndToEnd(h http.Header) http.Header {
 	kept := h.Clone()
 	for _, list := range h["Connection"] {
 		for _, name := range strings.Split(list, ",") {
@@ -30,9 +30,6 @@
 	return kept
 }
 
-// EndToEnd returns the fields of an answer that do not concern one connection only.
-func EndToEnd(h http.Header) http.Header { return endToEnd(h) }
-
 // writeAll writes the answers in the order of the requests.
 func (c *conn) writeAll() {
 	ended := false
--- a/internal/chivehillgateway/gateway.go
+++ b/internal/chivehillgateway/gateway.go
@@ -95,6 +95,8 @@
 	asked int
 	// sentAt is when the request was sent last.
 	sentAt chivehillclock.Millis
+	// fingerprint tells the request apart by what servers see of it.
+	fingerprint chivehillid.Fingerprint
 	// work is how long the work takes at an idle server.
 	work chivehillclock.Millis
 }
@@ -121,7 +123,7 @@
 	target := pickTarget(route, rand.Float64())
 	c := &call{
 		request: r, id: id, route: route, service: view.Configuration.Services[target], version: view.Configuration.Version,
-		deadline: g.deadline(r, route), work: g.work.Typical(route.ID, usualBound(route)),
+		deadline: g.deadline(r, route), fingerprint: fingerprint(r), work: g.work.Typical(route.ID, usualBound(route)),
 	}
 	g.Budget.Earn(target)
 	response := g.run(ctx, c)
--- a/internal/chivehillgateway/send.go
+++ b/internal/chivehillgateway/send.go
@@ -145,7 +145,7 @@
 		return step{reason: chivehillreason.ServerMoved, again: true}, chivehillplace.Moved{}
 	case answer.Remarks.NotExecuted:
 		return step{reason: chivehillreason.ServerRefused, again: true}, chivehillplace.Refused{Remarks: answer.Remarks}
-	case isSuccess(answer.Status) && !answer.Remarks.Signed:
+	case answer.Succeeded() && !answer.Remarks.Signed:
 		c.sent = true
 		return step{reason: chivehillreason.ServerSpoiled, again: c.route.Idempotent}, chivehillplace.Failed{}
 	case answer.Status >= http.StatusInternalServerError && c.route.Idempotent && c.attempts < c.route.MaxAttempts && !c.sent:
@@ -157,10 +157,6 @@
 	return step{answer: &answer}, chivehillplace.Served{Remarks: answer.Remarks}
 }
 
-func isSuccess(status int) bool {
-	return status >= http.StatusOK && status < http.StatusMultipleChoices
-}
-
 // answer passes the answer of a server on.
 func (g *Gateway) answer(c *call, o chivehillplace.Opinion, a chivehillupstream.Answer) chivehillfront.Response {
 	g.Metrics.Requests.WithLabelValues(string(c.route.ID), string(chivehillreason.Done)).Inc()
--- a/internal/chivehillgateway/suspect.go
+++ b/internal/chivehillgateway/suspect.go
@@ -32,7 +32,7 @@
 
 // isSuspect reports whether a request has brought down as many servers as one may.
 func (g *Gateway) isSuspect(c *call) bool {
-	return g.Suspects.Kills(g.Clock.Now(), fingerprint(c.request)) >= chivehillsuspect.MostIdempotent
+	return g.Suspects.Kills(g.Clock.Now(), c.fingerprint) >= chivehillsuspect.MostIdempotent
 }
 
 // checkCrash looks whether a server is down after it broke off a request, and
@@ -51,8 +51,7 @@
 	if !errors.Is(err, chivehillupstream.ErrNotSent) {
 		return
 	}
-	f := fingerprint(c.request)
-	kills := g.Suspects.Record(g.Clock.Now(), f, g.Self)
+	kills := g.Suspects.Record(g.Clock.Now(), c.fingerprint, g.Self)
 	g.Log.Warn().Str("request", string(c.id)).Str("server", string(server.ID)).Int("kills", kills).Msg("gateway: server down after a request.")
-	g.Suspected(f, kills)
+	g.Suspected(c.fingerprint, kills)
 }
--- a/internal/chivehillplace/table.go
+++ b/internal/chivehillplace/table.go
@@ -51,8 +51,6 @@
 	byService map[chivehillid.ServiceID][]*state
 	withdrawn map[chivehillid.DomainID]bool
 	services  map[chivehillid.ServiceID]chivehillcatalog.Service
-	// started is set after the first complete list of servers.
-	started bool
 }
 
 // NewTable returns a table without servers.
@@ -72,7 +70,7 @@
 	for id, e := range v.Servers {
 		s := t.servers[id]
 		if s == nil {
-			s = t.newState(now, e)
+			s = newState(now, e)
 		}
 		s.update(now, e, t.withdrawn[e.Domain] && !v.Withdrawn[e.Domain])
 		servers[id] = s
@@ -80,12 +78,10 @@
 	}
 	t.servers, t.byService = servers, byService
 	t.withdrawn, t.services = v.Withdrawn, v.Configuration.Services
-	t.started = t.started || v.ServersKnown
 }
 
-// newState describes a server that was not known. One that appears while the
-// host runs has just started.
-func (t *Table) newState(now chivehillclock.Millis, e chivehillcatalog.Server) *state {
+// newState describes a server that was not known.
+func newState(now chivehillclock.Millis, e chivehillcatalog.Server) *state {
 	return &state{entry: e, doubtful: true, coldUntil: now + e.ColdLeft, coldRefillAt: now, coldTokens: coldBurst}
 }
 
--- a/internal/chivehillrelay/beat.go
+++ b/internal/chivehillrelay/beat.go
@@ -1,16 +1,21 @@
 package chivehillrelay
 
 import (
+	"slices"
+
 	"github.com/chivehill/chivehill/internal/chivehillcatalog"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
 )
 
 // beat sends a heartbeat to the peers that pick chooses.
 func (r *Relay) beat(pick func(*link) bool) {
-	for _, l := range r.all() {
-		if pick(l) {
-			r.addBeat(l)
-		}
+	picked := slices.DeleteFunc(r.all(), func(l *link) bool { return !pick(l) })
+	if len(picked) == 0 {
+		return
+	}
+	b := r.newBeat()
+	for _, l := range picked {
+		addBeat(l, b)
 	}
 }
 
@@ -24,7 +29,14 @@
 	return links
 }
 
-func (r *Relay) addBeat(l *link) {
+func (r *Relay) addBeat(l *link) { addBeat(l, r.newBeat()) }
+
+func addBeat(l *link, b *chivehillwire.RelayBeat) {
+	l.add(func(m *chivehillwire.RelayMessage) { m.Beat = b })
+}
+
+// newBeat returns what this host knows now. It is not changed once it is shared.
+func (r *Relay) newBeat() *chivehillwire.RelayBeat {
 	at, ever := r.Contact()
 	b := chivehillwire.RelayBeat{ContactAgeMs: -1}
 	if ever {
@@ -41,5 +53,5 @@
 		b.Down = append(b.Down, id)
 	}
 	r.mu.Unlock()
-	l.add(func(m *chivehillwire.RelayMessage) { m.Beat = &b })
+	return &b
 }
--- a/internal/chivehillrelay/news.go
+++ b/internal/chivehillrelay/news.go
@@ -17,14 +17,11 @@
 	}
 	update := encodeUpdate(c, fresh)
 	for _, l := range r.all() {
-		if l.host.Region != r.Self.Region {
-			r.addBeat(l)
-			continue
-		}
-		if l.host.Domain != r.Self.Domain || !l.dialed {
+		if l.host.Region == r.Self.Region && (l.host.Domain != r.Self.Domain || !l.dialed) {
 			l.add(func(m *chivehillwire.RelayMessage) { m.Updates = append(m.Updates, update) })
 		}
 	}
+	r.beat(func(l *link) bool { return l.host.Region != r.Self.Region })
 }
 
 func encodeUpdate(c chivehillcatalog.Collection, u chivehillcatalog.Update) chivehillwire.RelayUpdate {
--- a/internal/chivehillupstream/conn.go
+++ b/internal/chivehillupstream/conn.go
@@ -41,8 +41,6 @@
 	usedAt time.Time
 	// keep is the time for which the server keeps the connection idle.
 	keep time.Duration
-	// fresh is set until the first answer arrived.
-	fresh bool
 }
 
 // dial opens a connection. Its errors are ErrNotSent.
@@ -54,7 +52,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w: %w", address, ErrNotSent, err)
 	}
-	return &conn{Conn: c, reader: bufio.NewReader(c), keep: defaultKeep, fresh: true}, nil
+	return &conn{Conn: c, reader: bufio.NewReader(c), keep: defaultKeep}, nil
 }
 
 // usable reports whether nothing has arrived on an idle connection: no bytes
@@ -120,7 +118,6 @@
 		reusable = false
 	}
 	c.usedAt = time.Now()
-	c.fresh = false
 	return answer, reusable && stop(), nil
 }
 
@@ -171,7 +168,7 @@
 			return answer, false, err
 		}
 		id := answer.Remarks.RequestID
-		if id == r.ID || (id == "" && !isSuccess(answer.Status)) {
+		if id == r.ID || (id == "" && !answer.Succeeded()) {
 			return answer, reusable, nil
 		}
 		if !reusable {
@@ -181,10 +178,6 @@
 	return Answer{}, false, fmt.Errorf("%w: too many answers to other requests", ErrSpoiled)
 }
 
-func isSuccess(status int) bool {
-	return status >= http.StatusOK && status < http.StatusMultipleChoices
-}
-
 // readOne reads one answer, past interim ones.
 func (c *conn) readOne(r *Request, dialect Dialect) (Answer, bool, error) {
 	asked := &http.Request{Method: r.Method}
--- a/internal/chivehillupstream/conn_test.go
+++ b/internal/chivehillupstream/conn_test.go
@@ -191,7 +191,7 @@
 		}()
 		c := &conn{Conn: near, reader: bufio.NewReader(near)}
 		answer, _, err := c.read(request("a"), plainDialect{})
-		if err == nil && isSuccess(answer.Status) && answer.Remarks.RequestID != "a" {
+		if err == nil && answer.Succeeded() && answer.Remarks.RequestID != "a" {
 			t.Fatalf("answer to %q passed on", answer.Remarks.RequestID)
 		}
 	})
--- a/internal/chivehillupstream/pool.go
+++ b/internal/chivehillupstream/pool.go
@@ -22,7 +22,6 @@
 	// idle is ordered by time of last use; the last is used first.
 	idle   []*conn
 	closed bool
-	open   atomic.Int64
 	dialed atomic.Uint64
 }
 
@@ -46,7 +45,6 @@
 	if err != nil {
 		return nil, err
 	}
-	p.open.Add(1)
 	p.dialed.Add(1)
 	return &Lease{pool: p, conn: c}, nil
 }
@@ -61,29 +59,14 @@
 		if c.usable(now) {
 			return c
 		}
-		p.discard(c)
+		_ = c.Close()
 	}
 	return nil
 }
 
-func (p *Pool) discard(c *conn) {
-	_ = c.Close()
-	p.open.Add(-1)
-}
-
-// Open returns the number of open connections.
-func (p *Pool) Open() int { return int(p.open.Load()) }
-
 // Dialed returns the number of connections opened so far.
 func (p *Pool) Dialed() uint64 { return p.dialed.Load() }
 
-// Idle returns the number of connections kept for reuse.
-func (p *Pool) Idle() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.idle)
-}
-
 // Sweep closes connections that were idle for too long or have ended.
 func (p *Pool) Sweep() {
 	now := time.Now()
@@ -95,7 +78,7 @@
 			kept = append(kept, c)
 			continue
 		}
-		p.discard(c)
+		_ = c.Close()
 	}
 	p.idle = kept
 }
@@ -106,14 +89,11 @@
 	defer p.mu.Unlock()
 	p.closed = true
 	for _, c := range p.idle {
-		p.discard(c)
+		_ = c.Close()
 	}
 	p.idle = nil
 }
 
-// Fresh reports whether the connection has not carried an answer yet.
-func (l *Lease) Fresh() bool { return l.conn.fresh }
-
 // Do sends a request and returns its whole answer. The lease is usable
 // afterwards only if Do reports so; else it is dropped.
 func (l *Lease) Do(ctx context.Context, r *Request) (answer Answer, usable bool, err error) {
@@ -133,7 +113,7 @@
 		return
 	}
 	if p.closed || len(p.idle) >= maxIdle || l.conn.reader.Buffered() > 0 {
-		p.discard(l.conn)
+		_ = l.conn.Close()
 	} else {
 		_ = l.conn.SetDeadline(time.Time{})
 		p.idle = append(p.idle, l.conn)
@@ -146,7 +126,7 @@
 	if l.conn == nil {
 		return
 	}
-	l.pool.discard(l.conn)
+	_ = l.conn.Close()
 	l.conn = nil
 }
 
--- a/internal/chivehillupstream/types.go
+++ b/internal/chivehillupstream/types.go
@@ -74,6 +74,11 @@
 	Remarks Remarks
 }
 
+// Succeeded reports whether the server answered with success.
+func (a Answer) Succeeded() bool {
+	return a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices
+}
+
 // Kinds of failures of an exchange with a server.
 var (
 	// ErrNotSent means that no byte of the request reached the server.
