fix: all of a chunked body counts against its limit, and its memory while it arrives

Cause: the limit was checked only after a full step of 64 KB, so the last piece of a chunked body was never held against it (up to 64 KB too much passed). The memory of a body counted only once it was whole: many slow bodies together could pass the bound of the host, and a body whose connection ended before its request was queued was never given back.

Ruled out: a limited reader in front of the body alone, which bounds one body but not the sum.

Change: each step claims its memory before it is kept and gives it back on any error. Server.Serve, which always returned nil, returns nothing.

--- a/internal/chivehillfront/body.go
+++ b/internal/chivehillfront/body.go
@@ -36,40 +36,56 @@
 	}, nil
 }
 
-// bodyStepBytes is the size of the steps in which memory for a body is claimed.
-const bodyStepBytes = 64 << 10
+const (
+	// firstStepBytes is what is read of a body first.
+	firstStepBytes = 512
+	// bodyStepBytes is the size of the further steps in which memory is claimed.
+	bodyStepBytes = 64 << 10
+)
 
 // readBounded reads a body within the limit of one body and of all together.
+// The memory of the body stays claimed if it is returned.
 func (c *conn) readBounded(body io.Reader, limit int64) ([]byte, error) {
-	var held []byte
-	buffer := make([]byte, 0, 512)
+	held, err := c.readSteps(body, limit)
+	if err != nil {
+		c.server.buffered.Add(-int64(len(held)))
+		return nil, err
+	}
+	return held, nil
+}
+
+// readSteps reads a body and claims memory for each step. It returns what it
+// has claimed, also with an error.
+func (c *conn) readSteps(body io.Reader, limit int64) (held []byte, err error) {
+	buffer := make([]byte, firstStepBytes)
 	for {
-		n, err := io.ReadFull(body, buffer[:cap(buffer)])
+		n, err := io.ReadFull(body, buffer)
+		if int64(len(held)+n) > limit {
+			return held, errBodyTooLarge
+		}
+		if !c.server.claim(int64(n)) {
+			return held, errNoMemory
+		}
 		held = append(held, buffer[:n]...)
 		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-			return c.bodyEnd(held, err)
+			return held, c.brokenOff(err)
 		}
 		if err != nil {
-			return nil, c.bodyError(err)
-		}
-		if int64(len(held)) > limit {
-			return nil, errBodyTooLarge
-		}
-		if c.server.buffered.Load()+int64(len(held)) > c.server.MaxBuffered {
-			return nil, errNoMemory
+			return held, c.bodyError(err)
 		}
 		_ = c.raw.SetReadDeadline(time.Now().Add(c.server.Limits().HeaderTimeout.Duration()))
-		buffer = make([]byte, 0, bodyStepBytes)
+		if len(buffer) < bodyStepBytes {
+			buffer = make([]byte, bodyStepBytes)
+		}
 	}
 }
 
-// bodyEnd tells the end of a body from a caller that broke off.
-func (c *conn) bodyEnd(held []byte, err error) ([]byte, error) {
+// brokenOff tells the end of a body from a caller that broke off.
+func (c *conn) brokenOff(err error) error {
 	if errors.Is(err, io.ErrUnexpectedEOF) && c.limit.failed != nil {
-		return nil, fmt.Errorf("read body: %w", c.limit.failed)
+		return fmt.Errorf("read body: %w", c.limit.failed)
 	}
-	c.server.buffered.Add(int64(len(held)))
-	return held, nil
+	return nil
 }
 
 func (c *conn) bodyError(err error) error {
--- a/internal/chivehillfront/conn.go
+++ b/internal/chivehillfront/conn.go
@@ -109,6 +109,7 @@
 		select {
 		case c.queue <- e:
 		case <-c.ctx.Done():
+			c.server.buffered.Add(-e.held)
 			return
 		}
 		if e.last {
--- a/internal/chivehillfront/server.go
+++ b/internal/chivehillfront/server.go
@@ -36,11 +36,11 @@
 }
 
 // Serve accepts connections until the listener is closed.
-func (s *Server) Serve(l net.Listener) error {
+func (s *Server) Serve(l net.Listener) {
 	for {
 		c, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
-			return nil
+			return
 		}
 		if err != nil {
 			s.Log.Warn().Str("step", "accept").Err(err).Msg("front: accept failed.")
@@ -67,6 +67,15 @@
 	})
 }
 
+// claim reports whether a body may take bytes more of memory, and counts them.
+func (s *Server) claim(bytes int64) bool {
+	if s.buffered.Add(bytes) <= s.MaxBuffered {
+		return true
+	}
+	s.buffered.Add(-bytes)
+	return false
+}
+
 // Leave makes each answer from now on the last one of its connection.
 func (s *Server) Leave() {
 	s.closing.Store(true)
--- a/internal/chivehillhost/host.go
+++ b/internal/chivehillhost/host.go
@@ -152,7 +152,7 @@
 	h.tasks.Go(func() { h.relay.Run(work) })
 	h.tasks.Go(func() { h.keepRegistered(work) })
 	h.tasks.Go(func() { h.sweep(work) })
-	h.tasks.Go(func() { _ = h.front.Serve(listeners[0]) })
+	h.tasks.Go(func() { h.front.Serve(listeners[0]) })
 	services := []*http.Server{
 		h.service(h.platform.Ready(h.ready)),
 		h.service(h.platform.Directory(h.resolve)),
