fix: an answer that is too large to be held is refused instead of cut

Cause: readOne read at most 64 MB and took what it had for the whole body.

Ruled out: streaming such answers, which would give up the check that an answer is whole before its first byte reaches the caller.

Change: one byte more is read; an answer above the bound is spoiled and its connection dropped.

Before: TestAnswersAboveTheBound gets 64 MB of 64 MB + 1 byte without an error. After: it gets ErrSpoiled, with a length and without.

--- a/internal/chivehillupstream/conn.go
+++ b/internal/chivehillupstream/conn.go
@@ -192,10 +192,9 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-		_ = resp.Body.Close()
+		body, err := readBody(resp.Body)
 		if err != nil {
-			return Answer{}, false, fmt.Errorf("read body: %w", err)
+			return Answer{}, false, err
 		}
 		answer := Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Remarks: dialect.Answer(resp.StatusCode, resp.Header)}
 		c.keep = keepTime(resp.Header)
@@ -203,6 +202,20 @@
 	}
 }
 
+// readBody reads the body of an answer. One that is too large to be held is
+// spoiled, since it could only be passed on in part.
+func readBody(r io.ReadCloser) ([]byte, error) {
+	defer func() { _ = r.Close() }()
+	body, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	if len(body) > maxAnswerBytes {
+		return nil, fmt.Errorf("%w: more than %d bytes", ErrSpoiled, maxAnswerBytes)
+	}
+	return body, nil
+}
+
 // isTransport reports whether reading failed for the connection, not for its bytes.
 func isTransport(err error) bool {
 	var netErr net.Error
--- a/internal/chivehillupstream/conn_test.go
+++ b/internal/chivehillupstream/conn_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -196,3 +197,33 @@
 		}
 	})
 }
+
+// TestAnswersAboveTheBound reads answers at and above what is held of one.
+func TestAnswersAboveTheBound(t *testing.T) {
+	tests := []struct {
+		about string
+		size  int
+		head  string
+		err   error
+	}{
+		{"at the bound", maxAnswerBytes, "Content-Length: " + strconv.Itoa(maxAnswerBytes) + "\r\n", nil},
+		{"above it", maxAnswerBytes + 1, "Content-Length: " + strconv.Itoa(maxAnswerBytes+1) + "\r\n", ErrSpoiled},
+		{"above it, ends with its connection", maxAnswerBytes + 1, "Connection: close\r\n", ErrSpoiled},
+	}
+	for _, tt := range tests {
+		pool := serve(t, func(c net.Conn, _ int, _ *http.Request) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\n"+tt.head+"\r\n")
+			_, _ = c.Write(make([]byte, tt.size))
+			_ = c.Close()
+		})
+		lease, err := pool.Take(t.Context(), 1000)
+		qt.Assert(t, err, qt.IsNil)
+		answer, _, err := lease.Do(t.Context(), request("a"))
+		if tt.err != nil {
+			qt.Check(t, err, qt.ErrorIs, tt.err, qt.Commentf("%s", tt.about))
+			continue
+		}
+		qt.Check(t, err, qt.IsNil, qt.Commentf("%s", tt.about))
+		qt.Check(t, len(answer.Body), qt.Equals, tt.size, qt.Commentf("%s", tt.about))
+	}
+}
