fix: hosts take turns to replace the head of their failure domain, and rely on one that the store answers

A count of the calls on a scratch copy (2,521) showed 232 hosts that began to watch the store for a moment: 24 at once each time the head of a failure domain left, since the next one was not connected within one tick; and 60 and 106 of 139 when all started together, since a host gave up on the others 0.3 s after its start even while connected with one that knew all. The same moment had a second effect: a host between two heads judged for itself, and took all hosts that it had no connection with for down: its directory named almost nobody for 0.1 s, and 24 hosts thought themselves responsible for the same cold servers. A new head forgot for 2 s which hosts were down.

Ruled out: longer fixed times for all, which delay the case for which they were made (the first host is cut from the store after all were killed).

Change: a host that follows nobody becomes a head one step of 0.1 s after each earlier host that may still come; a starting host connected with one that the store answered lately waits 1.2 s longer; between two heads a host keeps to what it believed last, and a new head starts from it.

Test: TestWhoWatches, TestHostsOutOfReach. The row "started a while ago and learnt nothing" held for a followed host that the store answers; the trace shows that its news is on its way then. It is replaced by four rows: no contact, contact, contact long ago (watch at the same moment as before), and contact but nothing learnt for 1.2 s more.

--- a/internal/chivehillrelay/relay.go
+++ b/internal/chivehillrelay/relay.go
@@ -65,6 +65,7 @@
 	watching    bool
 	lost        bool
 	headSince   chivehillclock.Millis
+	ledAt       chivehillclock.Millis
 	leaving     bool
 	lastBeat    chivehillclock.Millis
 	lastFarBeat chivehillclock.Millis
@@ -143,7 +144,7 @@
 	now := r.Clock.Now()
 	s := Situation{
 		Now: now, Started: r.started, Self: r.Self, Hosts: r.Catalog.View().Hosts, Peers: make(map[chivehillid.HostID]PeerState),
-		SeenAt: r.seenAt, Head: r.decision.Head, HeadSince: r.headSince,
+		SeenAt: r.seenAt, Head: r.decision.Head, HeadSince: r.headSince, LedAt: r.ledAt, Down: r.decision.Down,
 	}
 	s.ContactAt, s.ContactEver = r.Options.Contact()
 	s.Informed = r.informed()
@@ -177,6 +178,9 @@
 	if d.Head && !r.decision.Head {
 		r.headSince = s.Now
 	}
+	if d.Led {
+		r.ledAt = s.Now
+	}
 	watchChanged := d.Watch != r.watching
 	r.watching = d.Watch
 	r.dropUnneeded(s, d)
--- a/internal/chivehillrelay/roster.go
+++ b/internal/chivehillrelay/roster.go
@@ -36,11 +36,14 @@
 	contactStep = 400 * chivehillclock.Millisecond
 	// searchTime is added while others look for a host that the store answers.
 	searchTime = 20 * chivehillclock.Second
-	// blindStep is added to settleTime, after which a starting host that learns
-	// nothing from the others tries the store, for each host that tries before this one, at
-	// most maxBlindSteps times.
+	// blindStep is how much later each host acts than the one before it, at most
+	// maxBlindSteps times: when it becomes a head since it follows nobody, and when
+	// it tries the store since it learns nothing after its start.
 	blindStep     = 100 * chivehillclock.Millisecond
 	maxBlindSteps = 8
+	// informTime is added while a starting host is connected with one that the
+	// store answers: what it knows is on its way.
+	informTime = 1200 * chivehillclock.Millisecond
 	// dialsAtOnce is the most hosts of a failure domain dialed side by side.
 	dialsAtOnce = 2
 )
@@ -80,6 +83,10 @@
 	// HeadSince is since when this host is the head of its failure domain, if it is.
 	HeadSince chivehillclock.Millis
 	Head      bool
+	// LedAt is when this host last followed another one of its failure domain.
+	LedAt chivehillclock.Millis
+	// Down are the hosts that callers must not be sent to, as decided last.
+	Down map[chivehillid.HostID]bool
 	// ContactAt is this host's own newest contact with the store.
 	ContactAt   chivehillclock.Millis
 	ContactEver bool
@@ -111,8 +118,11 @@
 type Decision struct {
 	// Watch is set if the host watches the store itself.
 	Watch bool
-	// Head is set if the host follows no host of its failure domain.
+	// Head is set if the host follows no host of its failure domain and does not
+	// expect to.
 	Head bool
+	// Led is set if the host follows another one of its failure domain.
+	Led bool
 	// Delegate is the host that is asked to watch the store in this one's place;
 	// empty if none is.
 	Delegate chivehillid.HostID
@@ -143,7 +153,8 @@
 	source := d.follow(s, earlier)
 	domainSource := source
 	before := len(earlier)
-	d.Head = source == nil && (s.settled() || s.first(earlier))
+	d.Led = source != nil
+	d.Head = source == nil && (s.settled(s.awaited(earlier)) || s.first(earlier))
 	if d.Head {
 		d.compare(s)
 		before, source = s.servedByRegion()
@@ -154,7 +165,7 @@
 		d.Delegate = s.delegate()
 	}
 	d.Watch = d.Watch || s.delegated() || d.tryStore(s, before)
-	d.Down = down(s, domainSource)
+	d.Down = d.down(s, domainSource)
 	return d
 }
 
@@ -196,12 +207,35 @@
 	return before == 0
 }
 
-// settled reports whether the host has looked for others for long enough.
-func (s Situation) settled() bool {
+// awaited returns how many of the hosts before this one may still be followed.
+func (s Situation) awaited(earlier []chivehillcatalog.Host) int {
+	n := 0
+	for _, h := range earlier {
+		if !s.Peers[h.ID].Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// settled reports whether the host has looked for long enough for the hosts
+// before it. Hosts that start together, or lose the same head, give up one
+// after the other.
+func (s Situation) settled(before int) bool {
 	if len(s.Hosts) == 0 {
 		return s.Now-s.Started >= blindTime
 	}
-	return s.Now-s.Started >= settleTime
+	return s.Now-s.Started >= settleTurn(before) && s.Now-s.LedAt >= turn(before)
+}
+
+// turn returns how much later than the first host this one acts.
+func turn(before int) chivehillclock.Millis {
+	return chivehillclock.Millis(min(before, maxBlindSteps)) * blindStep
+}
+
+// settleTurn returns how long after its start a host relies on the others.
+func settleTurn(before int) chivehillclock.Millis {
+	return settleTime + turn(before)
 }
 
 // servedByRegion returns a reached head of an earlier failure domain of the
@@ -259,7 +293,11 @@
 // Hosts try one after the other.
 func (d *Decision) tryStore(s Situation, before int) bool {
 	if !s.Informed {
-		return s.Now-s.Started > settleTime+chivehillclock.Millis(min(before, maxBlindSteps))*blindStep
+		wait := settleTurn(before)
+		if d.ContactEver && s.Now-d.ContactAt < contactTime {
+			wait += informTime
+		}
+		return s.Now-s.Started > wait
 	}
 	wait := contactTime + chivehillclock.Millis(before)*contactStep
 	if d.Searching {
@@ -309,15 +347,19 @@
 
 // down returns the hosts that callers must not be sent to: a following host
 // believes the one it follows; a head judges its own failure domain by its
-// connections and believes the peers of the others.
-func down(s Situation, source *PeerState) map[chivehillid.HostID]bool {
+// connections and believes the peers of the others; between two heads a host
+// keeps to what it believed last.
+func (d *Decision) down(s Situation, source *PeerState) map[chivehillid.HostID]bool {
 	gone := make(map[chivehillid.HostID]bool)
-	if source != nil {
+	switch {
+	case source != nil:
 		for _, id := range source.Down {
 			gone[id] = true
 		}
-	} else {
+	case d.Head:
 		s.judge(gone)
+	default:
+		s.keepDown(gone, func(chivehillcatalog.Host) bool { return true })
 	}
 	for id, p := range s.Peers {
 		switch {
@@ -331,6 +373,15 @@
 	return gone
 }
 
+// keepDown marks the listed hosts that were down before and that pick chooses.
+func (s Situation) keepDown(gone map[chivehillid.HostID]bool, pick func(chivehillcatalog.Host) bool) {
+	for id := range s.Down {
+		if h, listed := s.Hosts[id]; listed && pick(h) {
+			gone[id] = true
+		}
+	}
+}
+
 // judge marks the hosts that a head misses.
 func (s Situation) judge(gone map[chivehillid.HostID]bool) {
 	reached := make(map[chivehillid.DomainID]bool)
@@ -345,9 +396,10 @@
 			}
 		}
 	}
-	since := s.Started
+	s.keepDown(gone, func(h chivehillcatalog.Host) bool { return !reached[h.Domain] })
+	since := s.Now
 	if s.Head {
-		since = max(since, s.HeadSince)
+		since = max(s.Started, s.HeadSince)
 	}
 	for id, h := range s.Hosts {
 		if reached[h.Domain] || s.Peers[id].Live {
