fix: a host that starts again finds its entry unchanged, and a first start waits for all entries

Ruled out: to find the others through the seeds alone, which are down or stale at times.

Change: the entry holds no incarnation; a host that starts again lists first and writes only if its entry is missing or differs; the answer of the write is taken over, so that a host knows its own entry (and can remove it) before any news. A new setting, first-start, tells that no host is registered yet: then it writes first, and heads are chosen after 1.5 s. Three bounds that nobody read leave the settings.

--- a/internal/chivehillcatalog/types.go
+++ b/internal/chivehillcatalog/types.go
@@ -121,7 +121,9 @@
 
 // Host is another entry host, or this one.
 type Host struct {
-	ID          chivehillid.HostID
+	ID chivehillid.HostID
+	// Incarnation is told to peers only: an entry does not change when its host
+	// starts again.
 	Incarnation chivehillid.Incarnation
 	Region      chivehillid.RegionID
 	Domain      chivehillid.DomainID
--- a/internal/chivehillfeed/store.go
+++ b/internal/chivehillfeed/store.go
@@ -28,8 +28,8 @@
 	// Watch waits for changes after a revision. It returns ErrHistoryGone if
 	// they are not known any more, and no records if nothing changed in time.
 	Watch(ctx context.Context, c chivehillcatalog.Collection, since chivehillcatalog.Revision, wait chivehillclock.Millis) (chivehillcatalog.Update, error)
-	// PutHost writes the entry of a host.
-	PutHost(ctx context.Context, h chivehillcatalog.Host) error
+	// PutHost writes the entry of a host and returns it.
+	PutHost(ctx context.Context, h chivehillcatalog.Host) (chivehillcatalog.Record, error)
 	// RemoveHost removes the entry of a host if it has not changed since revision.
 	RemoveHost(ctx context.Context, id chivehillid.HostID, revision chivehillcatalog.Revision) error
 }
--- a/internal/chivehillhost/host.go
+++ b/internal/chivehillhost/host.go
@@ -85,6 +85,9 @@
 	// downSince is since when each host is out of reach.
 	downSince map[chivehillid.HostID]chivehillclock.Millis
 
+	// looked is set once the entries of all hosts were read. Only keepRegistered uses it.
+	looked bool
+
 	leaving atomic.Bool
 	// bounds are those of the newest settings.
 	bounds atomic.Pointer[chivehillwire.GatewayBounds]
@@ -112,8 +115,7 @@
 	h.follower = &chivehillfeed.Follower{Store: p.Store, Catalog: h.catalog, Clock: h.clock, Metrics: h.metrics, Log: log}
 	h.suspects = chivehillsuspect.New()
 	h.relay = chivehillrelay.New(chivehillrelay.Options{
-		Suspects: h.suspects,
-		Self:     h.self, Seeds: seeds(s.SeedAddresses), Catalog: h.catalog, Clock: h.clock, Log: log, Contact: h.follower.Contact, Lost: h.follower.Lost,
+		Suspects: h.suspects, Self: h.self, FirstStart: s.FirstStart, Seeds: seeds(s.SeedAddresses), Catalog: h.catalog, Clock: h.clock, Log: log, Contact: h.follower.Contact, Lost: h.follower.Lost,
 		Watch: h.watch, Changed: h.downChanged,
 	})
 	h.follower.Fresh = h.relay.Publish
--- a/internal/chivehillhost/member.go
+++ b/internal/chivehillhost/member.go
@@ -17,7 +17,7 @@
 	registerPause = 500 * time.Millisecond
 	// maxRegisterPause is the same while the store does not answer.
 	maxRegisterPause = 2 * time.Second
-	// registerTimeout bounds one write of the entry.
+	// registerTimeout bounds one write of the entry, and one look at all.
 	registerTimeout = 2 * time.Second
 )
 
@@ -25,10 +25,9 @@
 func (h *Host) keepRegistered(ctx context.Context) {
 	pause := registerPause
 	for ctx.Err() == nil {
-		switch {
-		case h.leaving.Load() || h.registered() || h.register(ctx):
+		if h.leaving.Load() || h.ensureRegistered(ctx) {
 			pause = registerPause
-		default:
+		} else {
 			pause = min(maxRegisterPause, 2*pause)
 		}
 		select {
@@ -38,32 +37,62 @@
 	}
 }
 
+// ensureRegistered reports whether the store holds the entry of this host, and
+// writes it if not. A host that starts again reads the entries first: its own
+// may be there unchanged.
+func (h *Host) ensureRegistered(ctx context.Context) bool {
+	if h.registered() {
+		return true
+	}
+	if !h.settings.FirstStart && !h.looked {
+		if !h.findHosts(ctx) {
+			return false
+		}
+		h.looked = true
+		if h.registered() {
+			return true
+		}
+	}
+	return h.register(ctx)
+}
+
+// registered reports whether the entry of this host is known as it should be.
 func (h *Host) registered() bool {
 	e, found := h.catalog.View().Hosts[h.self.ID]
-	return found && e == h.self
+	self := h.self
+	self.Incarnation = ""
+	return found && e == self
 }
 
 // register writes the entry of this host and reports whether the store took it.
 func (h *Host) register(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	if err := h.platform.Store.PutHost(ctx, h.self); err != nil {
+	written, err := h.platform.Store.PutHost(ctx, h.self)
+	if err != nil {
 		h.log.Warn().Str("step", "register").Str("peer", "store").Err(err).Msg("host: not registered.")
 		return false
 	}
+	h.catalog.Apply(chivehillcatalog.Hosts, chivehillcatalog.Update{Records: []chivehillcatalog.Record{written}})
 	h.log.Info().Msg("host: registered.")
-	h.findHosts(ctx)
+	if !h.looked {
+		h.looked = h.findHosts(ctx)
+	}
 	return true
 }
 
-// findHosts reads the other hosts once, so that this one can follow them.
-func (h *Host) findHosts(ctx context.Context) {
+// findHosts reads the other hosts once, so that this one can follow them, and
+// reports whether the store answered.
+func (h *Host) findHosts(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
 	update, err := h.platform.Store.List(ctx, chivehillcatalog.Hosts)
 	if err != nil {
 		h.log.Warn().Str("step", "list hosts").Str("peer", "store").Err(err).Msg("host: others not known.")
-		return
+		return false
 	}
 	h.catalog.Apply(chivehillcatalog.Hosts, update)
+	return true
 }
 
 // forgetTime is how long a host is out of reach before its entry is removed.
--- a/internal/chivehillrelay/relay.go
+++ b/internal/chivehillrelay/relay.go
@@ -29,8 +29,10 @@
 
 // Options of a relay.
 type Options struct {
-	Self  chivehillcatalog.Host
-	Seeds []string
+	Self chivehillcatalog.Host
+	// FirstStart is set if the whole deployment starts for the first time.
+	FirstStart bool
+	Seeds      []string
 	// Suspects are the requests after which servers were down.
 	Suspects *chivehillsuspect.Table
 	Catalog  *chivehillcatalog.Catalog
@@ -143,7 +145,7 @@
 func (r *Relay) situation() Situation {
 	now := r.Clock.Now()
 	s := Situation{
-		Now: now, Started: r.started, Self: r.Self, Hosts: r.Catalog.View().Hosts, Peers: make(map[chivehillid.HostID]PeerState),
+		Now: now, Started: r.started, FirstStart: r.FirstStart, Self: r.Self, Hosts: r.Catalog.View().Hosts, Peers: make(map[chivehillid.HostID]PeerState),
 		SeenAt: r.seenAt, Head: r.decision.Head, HeadSince: r.headSince, LedAt: r.ledAt, Down: r.decision.Down,
 	}
 	s.ContactAt, s.ContactEver = r.Options.Contact()
--- a/internal/chivehillrelay/roster.go
+++ b/internal/chivehillrelay/roster.go
@@ -27,6 +27,8 @@
 	// settleTime is how long a starting host looks for others before it watches
 	// the store itself.
 	settleTime = 300 * chivehillclock.Millisecond
+	// firstSettleTime is the same when the whole deployment starts for the first time.
+	firstSettleTime = 1500 * chivehillclock.Millisecond
 	// blindTime is the same for a host that knows of no others.
 	blindTime = 600 * chivehillclock.Millisecond
 	// contactTime is the age of the newest contact with the store from which a
@@ -74,7 +76,10 @@
 type Situation struct {
 	Now     chivehillclock.Millis
 	Started chivehillclock.Millis
-	Self    chivehillcatalog.Host
+	// FirstStart is set if all hosts start for the first time: they list each
+	// other one by one.
+	FirstStart bool
+	Self       chivehillcatalog.Host
 	// Hosts are the hosts that the store lists.
 	Hosts map[chivehillid.HostID]chivehillcatalog.Host
 	Peers map[chivehillid.HostID]PeerState
@@ -200,7 +205,7 @@
 
 // first reports whether no host comes before this one in its region.
 func (s Situation) first(earlier []chivehillcatalog.Host) bool {
-	if len(s.Hosts) == 0 || len(earlier) > 0 {
+	if s.FirstStart || len(s.Hosts) == 0 || len(earlier) > 0 {
 		return false
 	}
 	before, _ := s.servedByRegion()
@@ -225,7 +230,7 @@
 	if len(s.Hosts) == 0 {
 		return s.Now-s.Started >= blindTime
 	}
-	return s.Now-s.Started >= settleTurn(before) && s.Now-s.LedAt >= turn(before)
+	return s.Now-s.Started >= s.settleTurn(before) && s.Now-s.LedAt >= turn(before)
 }
 
 // turn returns how much later than the first host this one acts.
@@ -234,7 +239,10 @@
 }
 
 // settleTurn returns how long after its start a host relies on the others.
-func settleTurn(before int) chivehillclock.Millis {
+func (s Situation) settleTurn(before int) chivehillclock.Millis {
+	if s.FirstStart {
+		return firstSettleTime + turn(before)
+	}
 	return settleTime + turn(before)
 }
 
@@ -293,7 +301,7 @@
 // Hosts try one after the other.
 func (d *Decision) tryStore(s Situation, before int) bool {
 	if !s.Informed {
-		wait := settleTurn(before)
+		wait := s.settleTurn(before)
 		if d.ContactEver && s.Now-d.ContactAt < contactTime {
 			wait += informTime
 		}
--- a/internal/chivehillrelay/roster_test.go
+++ b/internal/chivehillrelay/roster_test.go
@@ -170,6 +170,14 @@
 			s.Started, s.Hosts, s.Informed = now-settleTime, nil, false
 			return s.lose(second.ID, third.ID)
 		}, false},
+		{"just started for the first time, first of those listed so far", first, func(s Situation) Situation {
+			s.Started, s.FirstStart, s.Informed, s.ContactEver = now-settleTime, true, false, false
+			return s.lose(second.ID, third.ID)
+		}, false},
+		{"started for the first time a while ago", first, func(s Situation) Situation {
+			s.Started, s.FirstStart, s.Informed, s.ContactEver = now-firstSettleTime, true, false, false
+			return s.lose(second.ID, third.ID)
+		}, true},
 		{"just started and first of its region", first, func(s Situation) Situation {
 			s.Started = now
 			return s.lose(second.ID, third.ID)
--- a/internal/chivehillsettings/gateway_test.go
+++ b/internal/chivehillsettings/gateway_test.go
@@ -13,7 +13,7 @@
   "host": "edge-1", "region": "east", "failure-domain": "e1", "domains": {"e1": "east"},
   "caller-address": "10.0.0.1:80", "ready-address": "10.0.0.1:81", "directory-address": "10.0.0.1:82", "peer-address": "10.0.0.1:83",
   "metrics-address": "10.0.0.1:84", "store-address": "10.0.0.9:80", "seed-addresses": [], "memory-mb": 256, "log-level": "info",
-  "bounds": {"stop-grace-seconds": 6, "configuration-seconds": 2, "drain-seconds": 2, "withdrawal-seconds": 5, "stability-seconds": 3,
+  "bounds": {"stop-grace-seconds": 6, "configuration-seconds": 2, 
     "retry-ratio": 0.2, "retry-slack": 50, "answer-keep-seconds": 5}
 }`
 
--- a/internal/chivehillupstream/conn.go
+++ b/internal/chivehillupstream/conn.go
@@ -193,6 +193,7 @@
 			continue
 		}
 		body, err := readBody(resp.Body)
+		_ = resp.Body.Close()
 		if err != nil {
 			return Answer{}, false, err
 		}
@@ -204,8 +205,7 @@
 
 // readBody reads the body of an answer. One that is too large to be held is
 // spoiled, since it could only be passed on in part.
-func readBody(r io.ReadCloser) ([]byte, error) {
-	defer func() { _ = r.Close() }()
+func readBody(r io.Reader) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
 	if err != nil {
 		return nil, fmt.Errorf("read body: %w", err)
--- a/internal/chivehillwire/gateway.go
+++ b/internal/chivehillwire/gateway.go
@@ -12,23 +12,14 @@
 	// Time within which a configuration is in force.
 	ConfigurationSeconds float64 `json:"configuration-seconds"`
 
-	// Time within which a draining server gets no new work.
-	DrainSeconds float64 `json:"drain-seconds"`
-
 	// Part of the requests that may be sent once more.
 	RetryRatio float64 `json:"retry-ratio"`
 
 	// Sends beyond that part, of all hosts together in one window.
 	RetrySlack float64 `json:"retry-slack"`
 
-	// Time after a disturbance from which all bounds hold.
-	StabilitySeconds float64 `json:"stability-seconds"`
-
 	// Time from the signal to stop until the process is killed.
 	StopGraceSeconds float64 `json:"stop-grace-seconds"`
-
-	// Time within which a failure domain that is taken out gets no new work.
-	WithdrawalSeconds float64 `json:"withdrawal-seconds"`
 }
 
 // Settings of a host that takes its servers from the platform's store.
@@ -48,6 +39,10 @@
 	// Failure domain that this host is in.
 	FailureDomain chivehillid.DomainID `json:"failure-domain"`
 
+	// Whether the whole deployment starts for the first time, so that no host is
+	// registered.
+	FirstStart bool `json:"first-start"`
+
 	// Name of this host, unique in the deployment.
 	Host chivehillid.HostID `json:"host"`
 
