fix: news of one record decodes that record, not its whole collection

Cause: rebuild decoded every record of a collection for each change, and logged each unreadable one again.

Change: decoded values are kept and only what changed is decoded; a record's name is the identifier of what it describes.

Test: TestOnlyChangesAreDecoded counts 100 and 101 decodings for one change before, 1 after.

--- a/internal/chivehillcatalog/catalog.go
+++ b/internal/chivehillcatalog/catalog.go
@@ -1,6 +1,7 @@
 package chivehillcatalog
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -9,7 +10,8 @@
 	"github.com/chivehill/chivehill/internal/chivehillid"
 )
 
-// Decoder decodes the records of the store.
+// Decoder decodes the records of the store. The identifier of what a record
+// describes is the name of the record.
 type Decoder interface {
 	// Configuration decodes a configuration.
 	Configuration(Record) (Configuration, error)
@@ -156,17 +158,13 @@
 	case Configurations:
 		c.rebuildConfiguration(changes)
 	case Servers:
-		servers := decodeAll(c, name, r, c.Decoder.Server, func(s Server) chivehillid.ServerID { return s.ID })
+		servers := decodeChanges(c, name, c.View().Servers, changes, c.Decoder.Server)
 		c.replace(func(v *View) { v.Servers, v.ServersKnown = servers, r.known })
 	case Withdrawals:
-		domains := decodeAll(c, name, r, c.Decoder.Withdrawal, func(d chivehillid.DomainID) chivehillid.DomainID { return d })
-		withdrawn := make(map[chivehillid.DomainID]bool, len(domains))
-		for d := range domains {
-			withdrawn[d] = true
-		}
+		withdrawn := decodeChanges(c, name, c.View().Withdrawn, changes, c.withdrawal)
 		c.replace(func(v *View) { v.Withdrawn, v.WithdrawnKnown = withdrawn, r.known })
 	case Hosts:
-		hosts := decodeAll(c, name, r, c.Decoder.Host, func(h Host) chivehillid.HostID { return h.ID })
+		hosts := decodeChanges(c, name, c.View().Hosts, changes, c.Decoder.Host)
 		c.replace(func(v *View) { v.Hosts = hosts })
 	}
 	c.logChanges(name, r, changes)
@@ -211,18 +209,29 @@
 	c.view = view
 }
 
-// decodeAll decodes the records of a collection and leaves out those that
-// cannot be read.
-func decodeAll[K comparable, T any](c *Catalog, name Collection, r *records, decode func(Record) (T, error), key func(T) K) map[K]T {
-	decoded := make(map[K]T, len(r.live))
-	for _, e := range r.live {
-		value, err := decode(e)
+func (c *Catalog) withdrawal(r Record) (bool, error) {
+	_, err := c.Decoder.Withdrawal(r)
+	return err == nil, err
+}
+
+// decodeChanges returns what was decoded of a collection after changes. What
+// cannot be read is left out, also if it could be read before. The caller holds
+// the lock of the collection.
+func decodeChanges[K ~string, T any](c *Catalog, name Collection, old map[K]T, changes []change, decode func(Record) (T, error)) map[K]T {
+	decoded := make(map[K]T, len(old)+len(changes))
+	maps.Copy(decoded, old)
+	for _, e := range changes {
+		delete(decoded, K(e.record.Name))
+		if e.removed {
+			continue
+		}
+		value, err := decode(e.record)
 		if err != nil {
-			c.Log.Warn().Str("step", "decode").Str("collection", string(name)).Str("name", e.Name).
-				Uint64("revision", uint64(e.Revision)).Err(err).Msg("catalog: record left out.")
+			c.Log.Warn().Str("step", "decode").Str("collection", string(name)).Str("name", e.record.Name).
+				Uint64("revision", uint64(e.record.Revision)).Err(err).Msg("catalog: record left out.")
 			continue
 		}
-		decoded[key(value)] = value
+		decoded[K(e.record.Name)] = value
 	}
 	return decoded
 }
--- a/internal/chivehillcatalog/catalog_test.go
+++ b/internal/chivehillcatalog/catalog_test.go
@@ -94,3 +94,54 @@
 		qt.Check(t, r.ID, qt.Equals, tt.want, qt.Commentf("%s%s", tt.host, tt.path))
 	}
 }
+
+// countingDecoder counts the servers that it decodes.
+type countingDecoder struct {
+	numbers
+	servers *int
+}
+
+func (d countingDecoder) Server(r Record) (Server, error) {
+	*d.servers++
+	return d.numbers.Server(r)
+}
+
+// TestOnlyChangesAreDecoded counts what news costs: one decoding for each
+// record in it, however many are known.
+func TestOnlyChangesAreDecoded(t *testing.T) {
+	const known = 100
+	record := func(i int, revision Revision, data string) Record {
+		return Record{Name: strconv.Itoa(i), Revision: revision, Data: []byte(data)}
+	}
+	all := Update{Full: true, AsOf: known}
+	for i := range known {
+		all.Records = append(all.Records, record(i, Revision(i+1), "x"))
+	}
+	removed := record(3, known+4, "x")
+	removed.Deleted = true
+	tests := []struct {
+		about   string
+		records []Record
+		decoded int
+		servers int
+	}{
+		{"one changes", []Record{record(1, known+1, "y")}, 1, known},
+		{"one comes", []Record{record(known, known+2, "x")}, 1, known + 1},
+		{"one becomes unreadable", []Record{record(2, known+3, "")}, 1, known},
+		{"one goes", []Record{removed}, 0, known - 1},
+		{"nothing changes", []Record{record(1, known+1, "y")}, 0, known - 1},
+	}
+	decoded := 0
+	c := New(Options{Decoder: countingDecoder{servers: &decoded}, Log: zerolog.Nop()})
+	c.Apply(Servers, all)
+	qt.Assert(t, decoded, qt.Equals, known)
+	for _, tt := range tests {
+		decoded = 0
+		before := c.View().Servers
+		size := len(before)
+		c.Apply(Servers, Update{Since: known, AsOf: known + 9, Records: tt.records})
+		qt.Check(t, decoded, qt.Equals, tt.decoded, qt.Commentf("%s", tt.about))
+		qt.Check(t, c.View().Servers, qt.HasLen, tt.servers, qt.Commentf("%s", tt.about))
+		qt.Check(t, before, qt.HasLen, size, qt.Commentf("%s: a view does not change", tt.about))
+	}
+}
