feat: the hosts with the most processor time and link rate come first as heads

Cause: heads were chosen by hash alone.

Ruled out: the settings of the site in the code; the order follows what each host tells of itself.

Change: settings processor-share and link-mbps; a host's entry holds their product, and hosts are ordered by it, equal ones by hash as before. Delegates are chosen in the same order.

Test: TestLargerHostsFirst.

--- a/internal/chivehillcatalog/types.go
+++ b/internal/chivehillcatalog/types.go
@@ -131,4 +131,7 @@
 	CallerAddress string
 	ReadyAddress  string
 	PeerAddress   string
+	// Capacity tells how well the host can serve others, against other hosts: its
+	// cores times its link's megabits a second. Only entries hold it.
+	Capacity float64
 }
--- a/internal/chivehillhost/host.go
+++ b/internal/chivehillhost/host.go
@@ -105,6 +105,7 @@
 		self: chivehillcatalog.Host{
 			ID: s.Host, Incarnation: chivehillid.Incarnation(hex.EncodeToString(raw)), Region: s.Region, Domain: s.FailureDomain,
 			CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, PeerAddress: s.PeerAddress,
+			Capacity: s.ProcessorShare * s.LinkMbps,
 		},
 	}
 	h.bounds.Store(&s.Bounds)
--- a/internal/chivehillrelay/roster.go
+++ b/internal/chivehillrelay/roster.go
@@ -111,12 +111,15 @@
 			listed = append(listed, h)
 		}
 	}
-	slices.SortFunc(listed, func(a, b chivehillcatalog.Host) int {
-		return cmp.Or(cmp.Compare(rank(a.ID), rank(b.ID)), cmp.Compare(a.ID, b.ID))
-	})
+	slices.SortFunc(listed, inTurn)
 	return listed
 }
 
+// inTurn orders hosts by what they can do for others, the best first; equal ones by hash.
+func inTurn(a, b chivehillcatalog.Host) int {
+	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(rank(a.ID), rank(b.ID)), cmp.Compare(a.ID, b.ID))
+}
+
 func rank[T ~string](id T) uint64 { return xxhash.Sum64String(string(id)) }
 
 // Decision is what a host does now.
@@ -190,7 +193,7 @@
 	if slices.Contains(able, s.Delegate) {
 		return s.Delegate
 	}
-	return slices.MinFunc(able, func(a, b chivehillid.HostID) int { return cmp.Compare(rank(a), rank(b)) })
+	return slices.MinFunc(able, func(a, b chivehillid.HostID) int { return inTurn(s.Hosts[a], s.Hosts[b]) })
 }
 
 // delegated reports whether a live peer asks this host to watch in its place.
--- a/internal/chivehillrelay/roster_test.go
+++ b/internal/chivehillrelay/roster_test.go
@@ -189,6 +189,20 @@
 	}
 }
 
+// TestLargerHostsFirst gives one host of each failure domain more capacity: it is the head.
+func TestLargerHostsFirst(t *testing.T) {
+	hosts := hostsOf(5, "e1", "w1")
+	for _, d := range []chivehillid.DomainID{"e1", "w1"} {
+		last := order(d, hosts)[4]
+		last.Capacity = 2
+		hosts[last.ID] = last
+		qt.Check(t, order(d, hosts)[0].ID, qt.Equals, last.ID)
+		qt.Check(t, Decide(world(last, hosts)).Watch, qt.IsTrue)
+		s := world(order(d, hosts)[1], hosts)
+		qt.Check(t, s.delegate(), qt.Equals, last.ID)
+	}
+}
+
 func TestDelegate(t *testing.T) {
 	hosts := hostsOf(3, "e1")
 	ranked := order("e1", hosts)
--- a/internal/chivehillsettings/gateway.go
+++ b/internal/chivehillsettings/gateway.go
@@ -15,6 +15,9 @@
 	minMemoryMB     = 16.0
 	maxMemoryMB     = 1 << 20
 	maxRetrySlack   = 1e6
+	minRate         = 0.001
+	maxCores        = 1024.0
+	maxLinkMbps     = 1e6
 )
 
 // LoadGateway reads the settings of a gateway, and checks
@@ -53,6 +56,8 @@
 		chivehillfield.Address("metrics-address", s.MetricsAddress),
 		chivehillfield.Address("store-address", s.StoreAddress),
 		chivehillfield.Range("memory-mb", s.MemoryMb, minMemoryMB, maxMemoryMB),
+		chivehillfield.Range("processor-share", s.ProcessorShare, minRate, maxCores),
+		chivehillfield.Range("link-mbps", s.LinkMbps, minRate, maxLinkMbps),
 		checkDomain(s),
 		chivehillfield.Range("bounds.stop-grace-seconds", b.StopGraceSeconds, 1, maxBoundSeconds),
 		chivehillfield.Range("bounds.configuration-seconds", b.ConfigurationSeconds, 0.1, maxBoundSeconds),
--- a/internal/chivehillsettings/gateway_test.go
+++ b/internal/chivehillsettings/gateway_test.go
@@ -12,7 +12,7 @@
 const gatewaySettings = `{
   "host": "edge-1", "region": "east", "failure-domain": "e1", "domains": {"e1": "east"},
   "caller-address": "10.0.0.1:80", "ready-address": "10.0.0.1:81", "directory-address": "10.0.0.1:82", "peer-address": "10.0.0.1:83",
-  "metrics-address": "10.0.0.1:84", "store-address": "10.0.0.9:80", "seed-addresses": [], "memory-mb": 256, "log-level": "info",
+  "metrics-address": "10.0.0.1:84", "store-address": "10.0.0.9:80", "seed-addresses": [], "memory-mb": 256, "processor-share": 0.5, "link-mbps": 100, "log-level": "info",
   "bounds": {"stop-grace-seconds": 6, "configuration-seconds": 2, 
     "retry-ratio": 0.2, "retry-slack": 50, "answer-keep-seconds": 5}
 }`
@@ -28,6 +28,8 @@
 		{"ratio", `"retry-ratio": 0.2`, `"retry-ratio": 2`, `bounds.retry-ratio is "2"; allowed: from 0 to 1`},
 		{"no grace", `"stop-grace-seconds": 6`, `"stop-grace-seconds": 0`, `bounds.stop-grace-seconds is "0"; allowed: from 1 to 3600`},
 		{"failure domain of another region", `{"e1": "east"}`, `{"e1": "west"}`, `failure-domain is "e1"; allowed: .*`},
+		{"no processor time", `"processor-share": 0.5`, `"processor-share": 0`, `processor-share is "0"; allowed: from 0.001 to 1024`},
+		{"no link", `"link-mbps": 100`, `"link-mbps": -1`, `link-mbps is "-1"; allowed: from 0.001 to 1e\+06`},
 		{"of another type", `"memory-mb": 256`, `"memory-mb": "much"`, `memory-mb is "string"; allowed: .*`},
 	}
 	for _, tt := range tests {
--- a/internal/chivehillwire/gateway.go
+++ b/internal/chivehillwire/gateway.go
@@ -46,6 +46,9 @@
 	// Name of this host, unique in the deployment.
 	Host chivehillid.HostID `json:"host"`
 
+	// Rate of the host's link, in megabits a second.
+	LinkMbps float64 `json:"link-mbps"`
+
 	// Least level of log lines: debug, info, warn or error.
 	LogLevel string `json:"log-level"`
 
@@ -58,6 +61,9 @@
 	// IP address and port on which other hosts connect.
 	PeerAddress string `json:"peer-address"`
 
+	// Processor time of the host, in cores.
+	ProcessorShare float64 `json:"processor-share"`
+
 	// IP address and port on which readiness is told.
 	ReadyAddress string `json:"ready-address"`
 
