feat: collections are packed once for all peers, and one peer is asked at a time

Cause: a starting host asked each peer that knew more, its three seeds among them, for every collection; each answer was encoded and compressed for itself. With 3,000 servers that is about 900 KB before compression for each of 300 hosts, three to five times, from seeds with a link of 10 Mbit/s.

A collection that becomes known is one log line, not one for each record.

--- a/internal/chivehillcatalog/catalog.go
+++ b/internal/chivehillcatalog/catalog.go
@@ -142,6 +142,7 @@
 	changed := len(changes) > 0 || wasKnown != s.records.known
 	if changed {
 		c.rebuild(name, s.records, changes)
+		c.logChanges(name, s.records, changes, wasKnown)
 	}
 	s.mu.Unlock()
 	if changed && c.Changed != nil {
@@ -167,10 +168,14 @@
 		hosts := decodeChanges(c, name, c.View().Hosts, changes, c.Decoder.Host)
 		c.replace(func(v *View) { v.Hosts = hosts })
 	}
-	c.logChanges(name, r, changes)
 }
 
-func (c *Catalog) logChanges(name Collection, r *records, changes []change) {
+// logChanges logs each change, and one line alone when a collection becomes known.
+func (c *Catalog) logChanges(name Collection, r *records, changes []change, wasKnown bool) {
+	if !wasKnown && r.known {
+		c.Log.Info().Str("collection", string(name)).Int("records", len(r.live)).Uint64("as-of", uint64(r.asOf)).Msg("catalog: collection known.")
+		return
+	}
 	for _, e := range changes {
 		c.Log.Info().Str("collection", string(name)).Str("name", e.record.Name).Uint64("revision", uint64(e.record.Revision)).
 			Uint64("as-of", uint64(r.asOf)).Bool("removed", e.removed).Msg("catalog: record changed.")
--- a/internal/chivehillrelay/link.go
+++ b/internal/chivehillrelay/link.go
@@ -76,7 +76,7 @@
 	defer cancel()
 	//nolint:bodyclose // the library closes the body of the handshake response
 	conn, _, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{
-		CompressionMode: websocket.CompressionNoContextTakeover, HTTPClient: r.client,
+		CompressionMode: websocket.CompressionDisabled, HTTPClient: r.client,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
@@ -114,9 +114,9 @@
 }
 
 func write(ctx context.Context, conn *websocket.Conn, m chivehillwire.RelayMessage) error {
-	data, err := cbor.Marshal(m)
+	data, err := encode(m)
 	if err != nil {
-		return fmt.Errorf("encode message: %w", err)
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
@@ -138,6 +138,23 @@
 	return m, nil
 }
 
+// readAll returns the parts of the next message in order, the message itself last.
+func readAll(ctx context.Context, conn *websocket.Conn) ([]chivehillwire.RelayMessage, error) {
+	outer, err := read(ctx, conn)
+	if err != nil {
+		return nil, err
+	}
+	var parts []chivehillwire.RelayMessage
+	for _, e := range outer.Packed {
+		part, err := unpack(e)
+		if err != nil {
+			return nil, err
+		}
+		parts = append(parts, part)
+	}
+	return append(parts, outer), nil
+}
+
 // run carries messages until the connection ends.
 func (l *link) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -147,13 +164,15 @@
 		l.send(ctx)
 	})
 	for {
-		m, err := read(ctx, l.conn)
+		parts, err := readAll(ctx, l.conn)
 		if err != nil {
 			_ = l.conn.CloseNow()
 			return err
 		}
-		l.hear(m)
-		l.relay.receive(l, m)
+		for _, m := range parts {
+			l.hear(m)
+			l.relay.receive(l, m)
+		}
 	}
 }
 
@@ -191,8 +210,8 @@
 		l.pending = &chivehillwire.RelayMessage{}
 	}
 	change(l.pending)
-	if len(l.pending.Updates) > maxPending {
-		l.pending.Updates = nil
+	if len(l.pending.Updates)+len(l.pending.Packed) > maxPending {
+		l.pending.Updates, l.pending.Packed = nil, nil
 	}
 	l.mu.Unlock()
 	select {
@@ -245,8 +264,8 @@
 const lagTime = 350 * chivehillclock.Millisecond
 
 // lags reports whether this host has known less of a collection than the peer
-// for so long that it has to ask; at once if it knows nothing of it.
-func (l *link) lags(c chivehillcatalog.Collection, behind, unknown bool, now chivehillclock.Millis) bool {
+// for a while.
+func (l *link) lags(c chivehillcatalog.Collection, behind bool, now chivehillclock.Millis) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !behind {
@@ -256,18 +275,14 @@
 	since, lagging := l.behindAt[c]
 	if !lagging {
 		l.behindAt[c] = now
-		return unknown
-	}
-	if now-since < lagTime {
 		return false
 	}
-	l.behindAt[c] = now
-	return true
+	return now-since >= lagTime
 }
 
 // ServeHTTP accepts a connection of another host.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	conn, err := websocket.Accept(w, req, &websocket.AcceptOptions{CompressionMode: websocket.CompressionNoContextTakeover})
+	conn, err := websocket.Accept(w, req, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
 		r.Log.Info().Str("step", "accept").Err(err).Msg("relay: connection refused.")
 		return
--- a/internal/chivehillrelay/news.go
+++ b/internal/chivehillrelay/news.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/chivehill/chivehill/internal/chivehillcatalog"
+	"github.com/chivehill/chivehill/internal/chivehillclock"
 	"github.com/chivehill/chivehill/internal/chivehillid"
 	"github.com/chivehill/chivehill/internal/chivehillsuspect"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
@@ -15,15 +16,33 @@
 	if len(fresh.Records) == 0 {
 		return
 	}
-	update := encodeUpdate(c, fresh)
+	add, err := adder(encodeUpdate(c, fresh))
+	if err != nil {
+		r.Log.Error().Str("step", "pack news").Str("collection", string(c)).Err(err).Msg("relay: news not passed on.")
+		return
+	}
 	for _, l := range r.all() {
 		if l.host.Region == r.Self.Region && (l.host.Domain != r.Self.Domain || !l.dialed) {
-			l.add(func(m *chivehillwire.RelayMessage) { m.Updates = append(m.Updates, update) })
+			l.add(add)
 		}
 	}
 	r.beat(func(l *link) bool { return l.host.Region != r.Self.Region })
 }
 
+// adder returns what adds an update to a message: a large one is packed once for
+// all peers.
+func adder(u chivehillwire.RelayUpdate) (func(*chivehillwire.RelayMessage), error) {
+	size := 0
+	for _, e := range u.Records {
+		size += len(e.Data)
+	}
+	if size < packBytes {
+		return func(m *chivehillwire.RelayMessage) { m.Updates = append(m.Updates, u) }, nil
+	}
+	packed, err := pack(chivehillwire.RelayMessage{Updates: []chivehillwire.RelayUpdate{u}})
+	return func(m *chivehillwire.RelayMessage) { m.Packed = append(m.Packed, packed) }, err
+}
+
 func encodeUpdate(c chivehillcatalog.Collection, u chivehillcatalog.Update) chivehillwire.RelayUpdate {
 	e := chivehillwire.RelayUpdate{Collection: c, Full: u.Full, Since: u.Since, AsOf: u.AsOf}
 	for _, record := range u.Records {
@@ -63,12 +82,13 @@
 	if !slices.Contains(chivehillcatalog.Collections, c) {
 		return
 	}
-	snapshot := r.Catalog.Snapshot(c)
-	if snapshot.AsOf == 0 {
-		return
+	packed, err := r.snapshots.get(r.Catalog, c)
+	if err != nil {
+		r.Log.Error().Str("step", "pack collection").Str("collection", string(c)).Err(err).Msg("relay: peer not answered.")
+	}
+	if packed != nil {
+		l.add(func(m *chivehillwire.RelayMessage) { m.Packed = append(m.Packed, packed) })
 	}
-	update := encodeUpdate(c, snapshot)
-	l.add(func(m *chivehillwire.RelayMessage) { m.Updates = append(m.Updates, update) })
 }
 
 // catchUp asks a peer for the collections that it knows more of.
@@ -82,7 +102,8 @@
 		r.Catalog.Confirm(e.Collection, e.AsOf, e.Digest)
 		asOf, digest := r.Catalog.State(e.Collection)
 		behind := e.AsOf > asOf && (e.Digest != digest || asOf == 0)
-		if l.lags(e.Collection, behind, asOf == 0, now) {
+		lags := l.lags(e.Collection, behind, now)
+		if behind && (lags || asOf == 0 && r.mayTeach(l, e.Collection, now)) && r.mayAsk(e.Collection, now) {
 			want = append(want, e.Collection)
 		}
 	}
@@ -92,6 +113,36 @@
 	l.add(func(m *chivehillwire.RelayMessage) { m.Want = append(m.Want, want...) })
 }
 
+const (
+	// askTime is how long a peer that was asked for a collection has until
+	// another one is asked.
+	askTime = 700 * chivehillclock.Millisecond
+	// teachTime is how long after its start a host that knows nothing of a
+	// collection asks only the hosts that it is to follow.
+	teachTime = 800 * chivehillclock.Millisecond
+)
+
+// mayTeach reports whether a host that knows nothing of a collection should ask
+// a peer for it. The others of its failure domain follow the same host, which
+// is chosen for it; a seed may be the smallest host of all.
+func (r *Relay) mayTeach(l *link, c chivehillcatalog.Collection, now chivehillclock.Millis) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return c == chivehillcatalog.Hosts || r.decision.Keep[l.host.ID] || now-r.started >= teachTime
+}
+
+// mayAsk reports whether no peer was asked for a collection just now, and notes
+// that one is.
+func (r *Relay) mayAsk(c chivehillcatalog.Collection, now chivehillclock.Millis) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at, asked := r.askedAt[c]; asked && now-at < askTime {
+		return false
+	}
+	r.askedAt[c] = now
+	return true
+}
+
 // Suspect tells all peers that servers were down after a request.
 func (r *Relay) Suspect(f chivehillid.Fingerprint, kills int) {
 	r.tellSuspect(nil, chivehillwire.RelaySuspect{Fingerprint: f, Host: r.Self.ID, Kills: kills, LeftMs: chivehillsuspect.Hold})
--- a/internal/chivehillrelay/relay.go
+++ b/internal/chivehillrelay/relay.go
@@ -56,12 +56,16 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	tasks  conc.WaitGroup
+	// snapshots has its own lock.
+	snapshots snapshots
 
-	mu       sync.Mutex
-	started  chivehillclock.Millis
-	links    map[hostKey]*link
-	redial   map[string]*redial
-	seenAt   map[chivehillid.HostID]chivehillclock.Millis
+	mu      sync.Mutex
+	started chivehillclock.Millis
+	links   map[hostKey]*link
+	redial  map[string]*redial
+	seenAt  map[chivehillid.HostID]chivehillclock.Millis
+	// askedAt is when a peer was asked last for each collection.
+	askedAt  map[chivehillcatalog.Collection]chivehillclock.Millis
 	decision Decision
 	// watching is what Watch was told last.
 	watching    bool
@@ -86,7 +90,7 @@
 	return &Relay{
 		Options: o, ctx: ctx, cancel: cancel, started: o.Clock.Now(), links: make(map[hostKey]*link), redial: make(map[string]*redial),
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
-		seenAt: make(map[chivehillid.HostID]chivehillclock.Millis),
+		seenAt: make(map[chivehillid.HostID]chivehillclock.Millis), askedAt: make(map[chivehillcatalog.Collection]chivehillclock.Millis),
 	}
 }
 
--- a/internal/chivehillwire/relay.go
+++ b/internal/chivehillwire/relay.go
@@ -73,6 +73,9 @@
 	// Hello corresponds to the JSON schema field "hello".
 	Hello *RelayHello `json:"hello,omitempty"`
 
+	// Further messages, each encoded and compressed; they come first.
+	Packed [][]byte `json:"packed,omitempty"`
+
 	// Requests after which servers were down.
 	Suspects []RelaySuspect `json:"suspects,omitempty"`
 
