fix: hosts that do not answer are passed over, and few hosts of a large failure domain try the store

The trace: 149 hosts of the far region watched the store at once; their lists (100 KB of hosts, 900 KB of servers each) filled the link between the regions (60 Mbit/s), calls ran into their timeouts of 2 s, and all tried again. Two reasons: the turn after which a starting host tries the store ended growing at the eighth host; and each host dialed only the two first of its failure domain, so that all others became heads when these two were down.

Ruled out: a longer timeout alone, which leaves 149 lists under way.

Change: hosts whose last dial failed are retried beside the next ones, and are not waited for; each host beyond the eighth waits half a second more than the one before it.

Test: TestHostsThatDoNotAnswerArePassedOver, TestFewStartingHostsTryTheStore (52 of 52 tried the store after 1.1 s, now 18 at most).

--- a/internal/chivehillrelay/relay.go
+++ b/internal/chivehillrelay/relay.go
@@ -82,6 +82,8 @@
 	at      chivehillclock.Millis
 	pause   chivehillclock.Millis
 	dialing bool
+	// failed is set if the address did not answer last.
+	failed bool
 }
 
 // New returns a relay without peers.
@@ -150,6 +152,7 @@
 	now := r.Clock.Now()
 	s := Situation{
 		Now: now, Started: r.started, FirstStart: r.FirstStart, Self: r.Self, Hosts: r.Catalog.View().Hosts, Peers: make(map[chivehillid.HostID]PeerState),
+		Failed: make(map[chivehillid.HostID]bool),
 		SeenAt: r.seenAt, Head: r.decision.Head, HeadSince: r.headSince, LedAt: r.ledAt, Down: r.decision.Down,
 	}
 	s.ContactAt, s.ContactEver = r.Options.Contact()
@@ -161,7 +164,10 @@
 			s.Peers[key.id] = p
 		}
 	}
-	for id := range s.Hosts {
+	for id, h := range s.Hosts {
+		if e := r.redial[h.PeerAddress]; e != nil && e.failed {
+			s.Failed[id] = true
+		}
 		if _, seen := r.seenAt[id]; !seen {
 			r.seenAt[id] = now
 		}
@@ -303,7 +309,7 @@
 func (r *Relay) dialed(e *redial, reached bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e.dialing = false
+	e.dialing, e.failed = false, !reached
 	if reached {
 		e.pause = minRedial
 	} else {
--- a/internal/chivehillrelay/roster.go
+++ b/internal/chivehillrelay/roster.go
@@ -38,11 +38,14 @@
 	contactStep = 400 * chivehillclock.Millisecond
 	// searchTime is added while others look for a host that the store answers.
 	searchTime = 20 * chivehillclock.Second
-	// blindStep is how much later each host acts than the one before it, at most
-	// maxBlindSteps times: when it becomes a head since it follows nobody, and when
-	// it tries the store since it learns nothing after its start.
+	// blindStep is how much later each of the first hosts acts than the one before
+	// it: when it becomes a head since it follows nobody, and when it tries the store
+	// since it learns nothing after its start.
 	blindStep     = 100 * chivehillclock.Millisecond
 	maxBlindSteps = 8
+	// lateStep is the same for each further host: most of a large failure domain
+	// must not load the store at once.
+	lateStep = 500 * chivehillclock.Millisecond
 	// informTime is added while a starting host is connected with one that the
 	// store answers: what it knows is on its way.
 	informTime = 1200 * chivehillclock.Millisecond
@@ -92,6 +95,8 @@
 	LedAt chivehillclock.Millis
 	// Down are the hosts that callers must not be sent to, as decided last.
 	Down map[chivehillid.HostID]bool
+	// Failed are the hosts that did not answer when they were dialed last.
+	Failed map[chivehillid.HostID]bool
 	// ContactAt is this host's own newest contact with the store.
 	ContactAt   chivehillclock.Millis
 	ContactEver bool
@@ -219,7 +224,7 @@
 func (s Situation) awaited(earlier []chivehillcatalog.Host) int {
 	n := 0
 	for _, h := range earlier {
-		if !s.Peers[h.ID].Leaving {
+		if !s.Peers[h.ID].Leaving && !s.Failed[h.ID] {
 			n++
 		}
 	}
@@ -238,7 +243,8 @@
 
 // turn returns how much later than the first host this one acts.
 func turn(before int) chivehillclock.Millis {
-	return chivehillclock.Millis(min(before, maxBlindSteps)) * blindStep
+	steps := chivehillclock.Millis(min(before, maxBlindSteps)) * blindStep
+	return steps + chivehillclock.Millis(max(0, before-maxBlindSteps))*lateStep
 }
 
 // settleTurn returns how long after its start a host relies on the others.
@@ -283,18 +289,28 @@
 
 // follow returns the first live host before this one, and dials those before it.
 func (d *Decision) follow(s Situation, earlier []chivehillcatalog.Host) (source *PeerState) {
-	dials := 0
-	for _, h := range earlier {
-		p, connected := s.Peers[h.ID]
-		if connected && p.Live && p.Beaten && !p.Leaving {
+	return d.reach(s, earlier, func(p PeerState) bool { return p.Live && p.Beaten && !p.Leaving })
+}
+
+// reach returns the first of hosts that this one is connected with and that is
+// usable. It dials those before it: the first that may answer, and the first of
+// those that did not answer last.
+func (d *Decision) reach(s Situation, hosts []chivehillcatalog.Host, usable func(PeerState) bool) *PeerState {
+	dials, retries := 0, 0
+	for _, h := range hosts {
+		if p, connected := s.Peers[h.ID]; connected && usable(p) {
 			d.Keep[h.ID] = true
 			return &p
 		}
-		if dials < dialsAtOnce {
+		count := &dials
+		if s.Failed[h.ID] {
+			count = &retries
+		}
+		if *count < dialsAtOnce {
 			d.Dial = append(d.Dial, h)
 			d.Keep[h.ID] = true
 		}
-		dials++
+		*count++
 	}
 	return nil
 }
@@ -324,22 +340,7 @@
 // domain.
 func (d *Decision) compare(s Situation) {
 	for _, domain := range otherDomains(s) {
-		d.followDomain(s, order(domain, s.Hosts))
-	}
-}
-
-func (d *Decision) followDomain(s Situation, hosts []chivehillcatalog.Host) {
-	dials := 0
-	for _, h := range hosts {
-		if p, connected := s.Peers[h.ID]; connected && p.Live && !p.Leaving {
-			d.Keep[h.ID] = true
-			return
-		}
-		if dials < dialsAtOnce {
-			d.Dial = append(d.Dial, h)
-			d.Keep[h.ID] = true
-		}
-		dials++
+		d.reach(s, order(domain, s.Hosts), func(p PeerState) bool { return p.Live && !p.Leaving })
 	}
 }
 
--- a/internal/chivehillrelay/roster_test.go
+++ b/internal/chivehillrelay/roster_test.go
@@ -189,6 +189,62 @@
 	}
 }
 
+// TestHostsThatDoNotAnswerArePassedOver cuts the first hosts of a large failure
+// domain off: the others find the next one instead of becoming heads all.
+func TestHostsThatDoNotAnswerArePassedOver(t *testing.T) {
+	hosts := hostsOf(20, "e1")
+	ranked := order("e1", hosts)
+	ids := func(list []chivehillcatalog.Host) (names []chivehillid.HostID) {
+		for _, h := range list {
+			names = append(names, h.ID)
+		}
+		return names
+	}
+	s := world(ranked[10], hosts)
+	s.Peers, s.LedAt, s.Head, s.Informed, s.ContactEver = nil, now, false, false, false
+	d := Decide(s)
+	qt.Check(t, ids(d.Dial), qt.DeepEquals, ids(ranked[:2]), qt.Commentf("nothing is known of them"))
+	s.Failed = map[chivehillid.HostID]bool{ranked[0].ID: true, ranked[1].ID: true}
+	d = Decide(s)
+	qt.Check(t, ids(d.Dial), qt.DeepEquals, ids(ranked[:4]), qt.Commentf("the next ones as well"))
+	qt.Check(t, d.Head, qt.IsFalse)
+	s.Peers = map[chivehillid.HostID]PeerState{ranked[2].ID: {Host: ranked[2], Live: true, Beaten: true}}
+	d = Decide(s)
+	qt.Check(t, d.Led, qt.IsTrue)
+	qt.Check(t, d.Watch, qt.IsTrue, qt.Commentf("learnt nothing for 100 s"))
+
+	// The third host takes over at once, since both before it do not answer.
+	s = world(ranked[2], hosts)
+	s.Peers, s.LedAt, s.Head = nil, now, false
+	s.Failed = map[chivehillid.HostID]bool{ranked[0].ID: true, ranked[1].ID: true}
+	qt.Check(t, Decide(s).Head, qt.IsTrue)
+}
+
+// TestFewStartingHostsTryTheStore starts a large failure domain whose head
+// learns nothing: the hosts try one after the other.
+func TestFewStartingHostsTryTheStore(t *testing.T) {
+	hosts := hostsOf(26, "e1", "e2")
+	tests := []struct {
+		after chivehillclock.Millis
+		most  int
+	}{
+		{settleTime + maxBlindSteps*blindStep + 1, 2 * (maxBlindSteps + 1)},
+		{2 * chivehillclock.Second, 2 * (maxBlindSteps + 3)},
+		{4 * chivehillclock.Second, 2 * (maxBlindSteps + 7)},
+	}
+	for _, tt := range tests {
+		watching := 0
+		for _, h := range hosts {
+			s := world(h, hosts).withoutContact()
+			s.Started, s.LedAt, s.Informed, s.ContactEver, s.Head = now-tt.after, now, false, false, false
+			if Decide(s).Watch {
+				watching++
+			}
+		}
+		qt.Check(t, watching > 0 && watching <= tt.most, qt.IsTrue, qt.Commentf("%d after %v ms, at most %d", watching, tt.after, tt.most))
+	}
+}
+
 // TestLargerHostsFirst gives one host of each failure domain more capacity: it is the head.
 func TestLargerHostsFirst(t *testing.T) {
 	hosts := hostsOf(5, "e1", "w1")
