fix: a long list goes on while its parts arrive; hosts that know no others leave the store alone

A list of 3,456 servers is seven pages across 24 ms; it took longer than 0.7 s, after which the store counted as lost and another host was asked to watch, which began its list anew, and so on.

Change: the timeouts of a list hold for each part, and a part counts as an answer of the store; a host that knows no others waits 2 s; the look at the hosts may take 5 s.

--- a/internal/chivehillfeed/follow.go
+++ b/internal/chivehillfeed/follow.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// listTimeout bounds a list.
+	// listTimeout bounds each part of a list.
 	listTimeout = 2 * chivehillclock.Second
 	// confirmWait is how long a watch of the configuration waits. Its end shows
 	// that the store still answers.
@@ -59,7 +59,8 @@
 	lostAt    chivehillclock.Millis
 	// regained is closed when the store answers again.
 	regained chan struct{}
-	// listing is the number of lists under way, the oldest since listingAt.
+	// listing is the number of lists under way. listingAt is when a part of one
+	// arrived last, or the first began.
 	listing   int
 	listingAt chivehillclock.Millis
 	// restart ends the watches that wait, since the connections seem to be mute.
@@ -106,7 +107,7 @@
 const (
 	// lostTime is how long calls have to fail until the store counts as lost.
 	lostTime = 250 * chivehillclock.Millisecond
-	// muteTime is how long a list may take until the store counts as lost.
+	// muteTime is how long a part of a list may take until the store counts as lost.
 	muteTime = 700 * chivehillclock.Millisecond
 )
 
@@ -128,6 +129,14 @@
 	f.listing += by
 }
 
+// progressed records that a part of a list arrived.
+func (f *Follower) progressed(c chivehillcatalog.Collection) {
+	f.answered(c)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listingAt = f.Clock.Now()
+}
+
 func (f *Follower) follow(ctx context.Context, c chivehillcatalog.Collection) {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = minPause, maxPause
@@ -196,10 +205,15 @@
 }
 
 func (f *Follower) list(ctx context.Context, c chivehillcatalog.Collection) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout.Duration())
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	timer := time.AfterFunc(listTimeout.Duration(), cancel)
+	defer timer.Stop()
 	f.countListing(1)
-	update, err := f.Store.List(ctx, c)
+	update, err := f.Store.List(ctx, c, func() {
+		timer.Reset(listTimeout.Duration())
+		f.progressed(c)
+	})
 	f.countListing(-1)
 	f.count("list", err)
 	if err != nil {
--- a/internal/chivehillfeed/store.go
+++ b/internal/chivehillfeed/store.go
@@ -23,8 +23,8 @@
 
 // Store is the store that the deployment's collections lie in.
 type Store interface {
-	// List reads a whole collection.
-	List(ctx context.Context, c chivehillcatalog.Collection) (chivehillcatalog.Update, error)
+	// List reads a whole collection. It calls progress for each part that arrives.
+	List(ctx context.Context, c chivehillcatalog.Collection, progress func()) (chivehillcatalog.Update, error)
 	// Watch waits for changes after a revision. It returns ErrHistoryGone if
 	// they are not known any more, and no records if nothing changed in time.
 	Watch(ctx context.Context, c chivehillcatalog.Collection, since chivehillcatalog.Revision, wait chivehillclock.Millis) (chivehillcatalog.Update, error)
--- a/internal/chivehillhost/member.go
+++ b/internal/chivehillhost/member.go
@@ -17,8 +17,11 @@
 	registerPause = 500 * time.Millisecond
 	// maxRegisterPause is the same while the store does not answer.
 	maxRegisterPause = 2 * time.Second
-	// registerTimeout bounds one write of the entry, and one look at all.
+	// registerTimeout bounds one write of the entry.
 	registerTimeout = 2 * time.Second
+	// findTimeout bounds one look at all entries, which all hosts of a region may
+	// take at once across a narrow link.
+	findTimeout = 5 * time.Second
 )
 
 // keepRegistered keeps the entry of this host in the store until it leaves.
@@ -84,9 +87,9 @@
 // findHosts reads the other hosts once, so that this one can follow them, and
 // reports whether the store answered.
 func (h *Host) findHosts(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	update, err := h.platform.Store.List(ctx, chivehillcatalog.Hosts)
+	update, err := h.platform.Store.List(ctx, chivehillcatalog.Hosts, func() {})
 	if err != nil {
 		h.log.Warn().Str("step", "list hosts").Str("peer", "store").Err(err).Msg("host: others not known.")
 		return false
--- a/internal/chivehillhost/member_test.go
+++ b/internal/chivehillhost/member_test.go
@@ -23,7 +23,7 @@
 	calls    []string
 }
 
-func (s *hostStore) List(context.Context, chivehillcatalog.Collection) (chivehillcatalog.Update, error) {
+func (s *hostStore) List(context.Context, chivehillcatalog.Collection, func()) (chivehillcatalog.Update, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls = append(s.calls, "list")
--- a/internal/chivehillrelay/roster.go
+++ b/internal/chivehillrelay/roster.go
@@ -29,8 +29,9 @@
 	settleTime = 300 * chivehillclock.Millisecond
 	// firstSettleTime is the same when the whole deployment starts for the first time.
 	firstSettleTime = 1500 * chivehillclock.Millisecond
-	// blindTime is the same for a host that knows of no others.
-	blindTime = 600 * chivehillclock.Millisecond
+	// blindTime is the same for a host that knows of no others: the store has not
+	// answered its look at the hosts, and would hardly answer more.
+	blindTime = 2 * chivehillclock.Second
 	// contactTime is the age of the newest contact with the store from which a
 	// host that follows others tries the store itself.
 	contactTime = 2400 * chivehillclock.Millisecond
@@ -235,9 +236,6 @@
 // before it. Hosts that start together, or lose the same head, give up one
 // after the other.
 func (s Situation) settled(before int) bool {
-	if len(s.Hosts) == 0 {
-		return s.Now-s.Started >= blindTime
-	}
 	return s.Now-s.Started >= s.settleTurn(before) && s.Now-s.LedAt >= turn(before)
 }
 
@@ -249,7 +247,10 @@
 
 // settleTurn returns how long after its start a host relies on the others.
 func (s Situation) settleTurn(before int) chivehillclock.Millis {
-	if s.FirstStart {
+	switch {
+	case len(s.Hosts) == 0:
+		return blindTime
+	case s.FirstStart:
 		return firstSettleTime + turn(before)
 	}
 	return settleTime + turn(before)
--- a/internal/chivehillrelay/roster_test.go
+++ b/internal/chivehillrelay/roster_test.go
@@ -170,6 +170,14 @@
 			s.Started, s.Hosts, s.Informed = now-settleTime, nil, false
 			return s.lose(second.ID, third.ID)
 		}, false},
+		{"started a while ago, its look at the hosts is not answered yet", first, func(s Situation) Situation {
+			s.Started, s.Hosts, s.Informed, s.ContactEver = now-blindTime/2, nil, false, false
+			return s.lose(second.ID, third.ID)
+		}, false},
+		{"started long ago and knows no hosts", first, func(s Situation) Situation {
+			s.Started, s.Hosts, s.Informed, s.ContactEver = now-blindTime-1, nil, false, false
+			return s.lose(second.ID, third.ID)
+		}, true},
 		{"just started for the first time, first of those listed so far", first, func(s Situation) Situation {
 			s.Started, s.FirstStart, s.Informed, s.ContactEver = now-settleTime, true, false, false
 			return s.lose(second.ID, third.ID)
