feat: for which cold servers a host is responsible is decided once for the same live hosts

Ruled out: an index by failure domain alone, which leaves the hashing.

Change: the decision is kept until the live hosts change, which a counter tells, so that a decision from an older state is not kept.

Test: TestOneHostIsResponsible lets 12 hosts decide while hosts come and go: exactly one answers for each server.

--- /dev/null
+++ b/internal/chivehillhost/duty_test.go
@@ -0,0 +1,113 @@
+package chivehillhost
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/chivehill/chivehill/internal/chivehillcatalog"
+	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillwire"
+)
+
+// TestOneHostIsResponsible lets all hosts decide on the same servers, before and
+// after hosts come and go: each server has exactly one that answers for it, of its
+// failure domain where that has a host, and a server keeps its host if that stays.
+func TestOneHostIsResponsible(t *testing.T) {
+	domains := map[chivehillid.DomainID]chivehillid.RegionID{"e1": "east", "e2": "east", "w1": "west"}
+	entries := make(map[chivehillid.HostID]chivehillcatalog.Host)
+	for i := range 12 {
+		domain := []chivehillid.DomainID{"e1", "e2", "w1"}[i%3]
+		id := chivehillid.HostID(fmt.Sprintf("host-%d", i))
+		entries[id] = chivehillcatalog.Host{ID: id, Domain: domain, Region: domains[domain]}
+	}
+	hosts := make(map[chivehillid.HostID]*Host)
+	for id, e := range entries {
+		settings := chivehillwire.GatewaySettings{Host: id, Region: e.Region, FailureDomain: e.Domain, Domains: domains}
+		h, err := New(settings, Platform{Decoder: readyDecoder{}}, zerolog.Nop())
+		qt.Assert(t, err, qt.IsNil)
+		for _, c := range []chivehillcatalog.Collection{chivehillcatalog.Servers, chivehillcatalog.Withdrawals} {
+			h.catalog.Apply(c, chivehillcatalog.Update{Full: true, AsOf: 1})
+		}
+		h.catalog.Apply(chivehillcatalog.Configurations, chivehillcatalog.Update{Full: true, AsOf: 1, Records: []chivehillcatalog.Record{{Name: "main", Revision: 1}}})
+		hosts[id] = h
+	}
+	steps := []struct {
+		about string
+		gone  []chivehillid.HostID
+		// elsewhere is set if servers of e2 have to be served by others.
+		elsewhere bool
+	}{
+		{"all", nil, false},
+		{"one gone", []chivehillid.HostID{"host-0"}, false},
+		{"a failure domain gone", []chivehillid.HostID{"host-1", "host-4", "host-7", "host-10"}, true},
+		{"all again", nil, false},
+	}
+	before := make(map[chivehillid.ServerID]chivehillid.HostID)
+	for i, tt := range steps {
+		update := chivehillcatalog.Update{Full: true, AsOf: chivehillcatalog.Revision(10 * (i + 1))}
+		for id, e := range entries {
+			if !slices.Contains(tt.gone, id) {
+				data, _ := json.Marshal(e)
+				update.Records = append(update.Records, chivehillcatalog.Record{Name: string(id), Revision: update.AsOf, Data: data})
+			}
+		}
+		for _, h := range hosts {
+			h.catalog.Apply(chivehillcatalog.Hosts, update)
+		}
+		for n := range 60 {
+			s := chivehillcatalog.Server{ID: chivehillid.ServerID(fmt.Sprintf("i-%d", n)), Domain: []chivehillid.DomainID{"e1", "e2", "w1"}[n%3]}
+			var chosen []chivehillid.HostID
+			for id, h := range hosts {
+				if !slices.Contains(tt.gone, id) && h.responsible(s) {
+					chosen = append(chosen, id)
+				}
+			}
+			qt.Assert(t, chosen, qt.HasLen, 1, qt.Commentf("%s: %s", tt.about, s.ID))
+			host := entries[chosen[0]]
+			away := tt.elsewhere && s.Domain == "e2"
+			qt.Check(t, host.Domain != s.Domain, qt.Equals, away, qt.Commentf("%s: %s", tt.about, s.ID))
+			if old, known := before[s.ID]; known && !slices.Contains(tt.gone, old) && tt.gone != nil {
+				qt.Check(t, chosen[0], qt.Equals, old, qt.Commentf("%s: %s", tt.about, s.ID))
+			}
+			if i == 0 {
+				before[s.ID] = chosen[0]
+			}
+		}
+	}
+}
+
+// BenchmarkResponsible asks for one server among 300 hosts.
+func BenchmarkResponsible(b *testing.B) {
+	h, err := New(chivehillwire.GatewaySettings{Host: "host-0", FailureDomain: "e1"}, Platform{Decoder: readyDecoder{}}, zerolog.Nop())
+	qt.Assert(b, err, qt.IsNil)
+	update := chivehillcatalog.Update{Full: true, AsOf: 2}
+	for i := range 300 {
+		e := chivehillcatalog.Host{ID: chivehillid.HostID(fmt.Sprintf("host-%d", i)), Domain: chivehillid.DomainID(fmt.Sprintf("e%d", i%6))}
+		data, _ := json.Marshal(e)
+		update.Records = append(update.Records, chivehillcatalog.Record{Name: string(e.ID), Revision: 1, Data: data})
+	}
+	h.catalog.Apply(chivehillcatalog.Hosts, update)
+	s := chivehillcatalog.Server{ID: "i-1", Domain: "e1"}
+	b.Run("decided anew", func(b *testing.B) {
+		for b.Loop() {
+			h.chooseResponsible(s, h.live())
+		}
+	})
+	b.Run("as known", func(b *testing.B) {
+		for b.Loop() {
+			h.responsible(s)
+		}
+	})
+}
+
+// readyDecoder decodes hosts, and any configuration as the first.
+type readyDecoder struct{ hostDecoder }
+
+func (readyDecoder) Configuration(chivehillcatalog.Record) (chivehillcatalog.Configuration, error) {
+	return chivehillcatalog.Configuration{Version: 1}, nil
+}
--- a/internal/chivehillhost/host.go
+++ b/internal/chivehillhost/host.go
@@ -88,7 +88,10 @@
 	// looked is set once the entries of all hosts were read. Only keepRegistered uses it.
 	looked bool
 
-	leaving atomic.Bool
+	duties atomic.Pointer[duties]
+	// hostsChanged counts the changes of the live hosts.
+	hostsChanged atomic.Uint64
+	leaving      atomic.Bool
 	// bounds are those of the newest settings.
 	bounds atomic.Pointer[chivehillwire.GatewayBounds]
 	tasks  conc.WaitGroup
@@ -223,6 +226,7 @@
 		h.table.Sync(h.catalog.View)
 	case chivehillcatalog.Hosts:
 		h.budget.SetHosts(len(h.catalog.View().Hosts))
+		h.hostsChanged.Add(1)
 	}
 }
 
--- a/internal/chivehillhost/member.go
+++ b/internal/chivehillhost/member.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/chivehill/chivehill/internal/chivehillcatalog"
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 	"github.com/chivehill/chivehill/internal/chivehilldirectory"
@@ -118,6 +116,7 @@
 	}
 	h.downSince = down
 	h.metrics.Down.Set(float64(len(down)))
+	h.hostsChanged.Add(1)
 }
 
 // forget removes the entries of hosts that have been out of reach for long. Only
@@ -179,26 +178,3 @@
 	}
 	return addresses, min(keepAnswer, seconds(h.bounds.Load().AnswerKeepSeconds))
 }
-
-// responsible reports whether this host is the one that sends to a server while
-// it is cold: the live host of the server's failure domain, else of its region,
-// else of all, with the highest hash of both names.
-func (h *Host) responsible(s chivehillcatalog.Server) bool {
-	region := h.settings.Domains[s.Domain]
-	var best chivehillcatalog.Host
-	bestRank, bestHash := -1, uint64(0)
-	for _, e := range h.live() {
-		rank := 0
-		switch {
-		case e.Domain == s.Domain:
-			rank = 2
-		case e.Region == region:
-			rank = 1
-		}
-		hash := xxhash.Sum64String(string(s.ID) + "/" + string(e.ID))
-		if rank > bestRank || rank == bestRank && hash > bestHash {
-			best, bestRank, bestHash = e, rank, hash
-		}
-	}
-	return best.ID == h.self.ID
-}
