feat: servers that a host is connected with are asked first

Ruled out: a fixed part of the servers for each host, chosen by hash, which has to grow under load and move when servers come and go.

Change: a server that has told nothing for 8 s ranks like one that runs a request of this host more. The set of servers in use grows with load by itself.

--- a/internal/chivehillplace/table.go
+++ b/internal/chivehillplace/table.go
@@ -25,6 +25,11 @@
 	coldBurst = 1
 	// refusedPenalty ranks a server that refused lately behind the others.
 	refusedPenalty = 100
+	// strangerPenalty ranks a server that this host has no connection with like one
+	// that runs a request more.
+	strangerPenalty = 1
+	// keptFor is how long after its last answer a server is taken to be connected.
+	keptFor = 8 * chivehillclock.Second
 )
 
 // Place is where this host stands and what surrounds it.
@@ -177,6 +182,9 @@
 	if now < s.refusedUntil {
 		score += refusedPenalty
 	}
+	if !s.hasLoad || now-s.loadAt > keptFor {
+		score += strangerPenalty
+	}
 	return score
 }
 
