--- a/internal/chivehillreason/reason.go
+++ b/internal/chivehillreason/reason.go
@@ -66,7 +66,7 @@
 }
 
 // Retries lists the reasons for which a request is tried again.
-var Retries = []Reason{ServerRefused, ServerUnreachable, ServerBroke, ServerMoved, ServerSpoiled, ServerFailed, SlotExpired}
+var Retries = []Reason{ServerRefused, ServerUnreachable, ServerBroke, ServerMoved, ServerSpoiled, ServerFailed, SlotExpired, NoServer}
 
 // Status returns the HTTP status of a refusal.
 func Status(o Outcome, r Reason) int {
