refactor: one reader of CBOR messages, one way to draw an incarnation and to repeat a task

Change: chivehillcodec reads messages for both; the relay now refuses a key that comes twice and a message that is not binary, as the peers did. chivehillid.NewIncarnation, chivehillclock.Every. chivehillhost.New cannot fail any more and returns no error.

Ruled out: one message type for both protocols, which have nothing in common.

Test: TestDecode; the tests of both packages and of the processes pass with the race detector.

--- a/cmd/chivehill/gateway.go
+++ b/cmd/chivehill/gateway.go
@@ -48,10 +48,7 @@
 	})
 	defer func() { _ = sink.Close() }()
 	log = log.With().Str("host", string(settings.Host)).Logger()
-	host, err := chivehillhost.New(settings, newPlatform(settings), log)
-	if err != nil {
-		return fmt.Errorf("start: %w", err)
-	}
+	host := chivehillhost.New(settings, newPlatform(settings), log)
 	running.Store(host)
 	go host.FollowSettings(ctx, c.Settings, reload)
 	return host.Run(ctx)
--- a/internal/chivehillhost/duty_test.go
+++ b/internal/chivehillhost/duty_test.go
@@ -28,8 +28,7 @@
 	hosts := make(map[chivehillid.HostID]*Host)
 	for id, e := range entries {
 		settings := chivehillwire.GatewaySettings{Host: id, Region: e.Region, FailureDomain: e.Domain, Domains: domains}
-		h, err := New(settings, Platform{Decoder: readyDecoder{}}, zerolog.Nop())
-		qt.Assert(t, err, qt.IsNil)
+		h := New(settings, Platform{Decoder: readyDecoder{}}, zerolog.Nop())
 		for _, c := range []chivehillcatalog.Collection{chivehillcatalog.Servers, chivehillcatalog.Withdrawals} {
 			h.catalog.Apply(c, chivehillcatalog.Update{Full: true, AsOf: 1})
 		}
@@ -83,8 +82,7 @@
 
 // BenchmarkResponsible asks for one server among 300 hosts.
 func BenchmarkResponsible(b *testing.B) {
-	h, err := New(chivehillwire.GatewaySettings{Host: "host-0", FailureDomain: "e1"}, Platform{Decoder: readyDecoder{}}, zerolog.Nop())
-	qt.Assert(b, err, qt.IsNil)
+	h := New(chivehillwire.GatewaySettings{Host: "host-0", FailureDomain: "e1"}, Platform{Decoder: readyDecoder{}}, zerolog.Nop())
 	update := chivehillcatalog.Update{Full: true, AsOf: 2}
 	for i := range 300 {
 		e := chivehillcatalog.Host{ID: chivehillid.HostID(fmt.Sprintf("host-%d", i)), Domain: chivehillid.DomainID(fmt.Sprintf("e%d", i%6))}
--- a/internal/chivehillhost/host.go
+++ b/internal/chivehillhost/host.go
@@ -4,9 +4,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
-	"fmt"
 	"net/http"
 	"reflect"
 	"slices"
@@ -48,7 +45,6 @@
 }
 
 const (
-	incarnationBytes = 8
 	// sweepPeriod is the time between two looks for connections to close.
 	sweepPeriod = chivehillclock.Second
 	// keepAnswer is the time for which callers keep the list of hosts.
@@ -98,15 +94,11 @@
 }
 
 // New assembles a host. Run runs it.
-func New(s chivehillwire.GatewaySettings, p Platform, log zerolog.Logger) (*Host, error) {
-	raw := make([]byte, incarnationBytes)
-	if _, err := rand.Read(raw); err != nil {
-		return nil, fmt.Errorf("draw incarnation: %w", err)
-	}
+func New(s chivehillwire.GatewaySettings, p Platform, log zerolog.Logger) *Host {
 	h := &Host{
 		settings: s, platform: p, clock: chivehillclock.NewBoot(), log: log, metrics: chivehillmetrics.NewGateway(),
 		self: chivehillcatalog.Host{
-			ID: s.Host, Incarnation: chivehillid.Incarnation(hex.EncodeToString(raw)), Region: s.Region, Domain: s.FailureDomain,
+			ID: s.Host, Incarnation: chivehillid.NewIncarnation(), Region: s.Region, Domain: s.FailureDomain,
 			CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, PeerAddress: s.PeerAddress,
 			Capacity: s.ProcessorShare * s.LinkMbps,
 		},
@@ -132,7 +124,7 @@
 	h.front = &chivehillfront.Server{
 		Handler: gateway, Limits: h.limits, Clock: h.clock, Log: log, MaxBuffered: int64(s.MemoryMb * bytesPerMB * bufferedPart),
 	}
-	return h, nil
+	return h
 }
 
 // Reload puts the bounds of new settings in force. What else has changed needs a
@@ -248,15 +240,8 @@
 }
 
 func (h *Host) sweep(ctx context.Context) {
-	t := time.NewTicker(sweepPeriod.Duration())
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			h.servers.Keep(h.catalog.View().Servers)
-			h.forget(ctx)
-		}
-	}
+	chivehillclock.Every(ctx, sweepPeriod, func() {
+		h.servers.Keep(h.catalog.View().Servers)
+		h.forget(ctx)
+	})
 }
--- a/internal/chivehillhost/member_test.go
+++ b/internal/chivehillhost/member_test.go
@@ -88,8 +88,7 @@
 		settings := chivehillwire.GatewaySettings{
 			Host: self.ID, Region: self.Region, FailureDomain: self.Domain, CallerAddress: self.CallerAddress, FirstStart: tt.firstStart,
 		}
-		h, err := New(settings, Platform{Store: store, Decoder: hostDecoder{}}, zerolog.Nop())
-		qt.Assert(t, err, qt.IsNil)
+		h := New(settings, Platform{Store: store, Decoder: hostDecoder{}}, zerolog.Nop())
 		ctx, cancel := context.WithTimeout(t.Context(), 3*registerPause/2)
 		h.keepRegistered(ctx)
 		cancel()
@@ -101,8 +100,7 @@
 // TestRegistrationIsRepeated removes an entry that was written: it is written again.
 func TestRegistrationIsRepeated(t *testing.T) {
 	store := &hostStore{entries: make(map[chivehillid.HostID]chivehillcatalog.Host), revision: 1}
-	h, err := New(chivehillwire.GatewaySettings{Host: "a"}, Platform{Store: store, Decoder: hostDecoder{}}, zerolog.Nop())
-	qt.Assert(t, err, qt.IsNil)
+	h := New(chivehillwire.GatewaySettings{Host: "a"}, Platform{Store: store, Decoder: hostDecoder{}}, zerolog.Nop())
 	qt.Assert(t, h.ensureRegistered(t.Context()), qt.IsTrue)
 	qt.Check(t, h.registered(), qt.IsTrue, qt.Commentf("before any news of it"))
 	h.catalog.Apply(chivehillcatalog.Hosts, chivehillcatalog.Update{Full: true, AsOf: 99})
--- a/internal/chivehillid/id.go
+++ b/internal/chivehillid/id.go
@@ -1,6 +1,11 @@
 // Package chivehillid defines the named types for identifiers and units.
 package chivehillid
 
+import (
+	"crypto/rand"
+	"encoding/hex"
+)
+
 // HostID names one entry host as its settings give it. It survives restarts.
 type HostID string
 
@@ -8,6 +13,17 @@
 // lower-case hexadecimal digits, drawn at start.
 type Incarnation string
 
+// incarnationBytes is the number of random bytes of an incarnation.
+const incarnationBytes = 8
+
+// NewIncarnation draws an incarnation.
+func NewIncarnation() Incarnation {
+	var raw [incarnationBytes]byte
+	// Reading random bytes does not fail.
+	_, _ = rand.Read(raw[:])
+	return Incarnation(hex.EncodeToString(raw[:]))
+}
+
 // RegionID names a region.
 type RegionID string
 
--- a/internal/chivehillnode/node.go
+++ b/internal/chivehillnode/node.go
@@ -4,8 +4,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"fmt"
 	"net/http"
 	"os"
@@ -40,11 +38,10 @@
 )
 
 const (
-	incarnationBytes = 8
-	headerTimeout    = 5 * time.Second
-	bodyTimeout      = 30 * time.Second
-	idleTimeout      = 2 * time.Minute
-	maxHeaderBytes   = 64 << 10
+	headerTimeout  = 5 * time.Second
+	bodyTimeout    = 30 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
 	// leasePolls is the number of long polls in one lease time.
 	leasePolls = 3
 )
@@ -95,10 +92,6 @@
 
 // New assembles a node. Run runs it.
 func New(s chivehillwire.Settings, log zerolog.Logger) (*Node, error) {
-	raw := make([]byte, incarnationBytes)
-	if _, err := rand.Read(raw); err != nil {
-		return nil, fmt.Errorf("draw incarnation: %w", err)
-	}
 	secret, err := readSecret(s.PeerSecretFile)
 	if err != nil {
 		return nil, err
@@ -107,7 +100,7 @@
 	n := &Node{
 		settings: s, clock: clock, log: log, metrics: chivehillmetrics.New(),
 		self: chivehillwire.Member{
-			Host: s.Host, Incarnation: chivehillid.Incarnation(hex.EncodeToString(raw)), Region: s.Region,
+			Host: s.Host, Incarnation: chivehillid.NewIncarnation(), Region: s.Region,
 			FailureDomain: s.FailureDomain, CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress,
 		},
 		adopted: chivehillkey.NewAdopted(), suspects: chivehillsuspect.New(),
@@ -224,18 +217,7 @@
 }
 
 func (n *Node) every(ctx context.Context, period chivehillclock.Millis, do func()) {
-	n.tasks.Go(func() {
-		t := time.NewTicker(period.Duration())
-		defer t.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-t.C:
-				do()
-			}
-		}
-	})
+	n.tasks.Go(func() { chivehillclock.Every(ctx, period, do) })
 }
 
 // joinPause is the time between two checks that this host is a member.
--- a/internal/chivehillpeer/handshake.go
+++ b/internal/chivehillpeer/handshake.go
@@ -12,6 +12,7 @@
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/chivehill/chivehill/internal/chivehillcodec"
 	"github.com/chivehill/chivehill/internal/chivehillid"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
 )
@@ -39,7 +40,7 @@
 	if err := write(ctx, conn, chivehillwire.Envelope{Hello: &own}); err != nil {
 		return chivehillwire.Member{}, fmt.Errorf("send hello: %w", err)
 	}
-	first, err := read(ctx, conn)
+	first, err := chivehillcodec.Read[chivehillwire.Envelope](ctx, conn)
 	if err != nil {
 		return chivehillwire.Member{}, fmt.Errorf("receive hello: %w", err)
 	}
@@ -54,7 +55,7 @@
 	if err := write(ctx, conn, chivehillwire.Envelope{Proof: &proof}); err != nil {
 		return other.Member, fmt.Errorf("send proof: %w", err)
 	}
-	second, err := read(ctx, conn)
+	second, err := chivehillcodec.Read[chivehillwire.Envelope](ctx, conn)
 	if err != nil {
 		return other.Member, fmt.Errorf("receive proof: %w", err)
 	}
@@ -79,18 +80,3 @@
 	}
 	return conn.Write(ctx, websocket.MessageBinary, data)
 }
-
-func read(ctx context.Context, conn *websocket.Conn) (chivehillwire.Envelope, error) {
-	var e chivehillwire.Envelope
-	kind, data, err := conn.Read(ctx)
-	if err != nil {
-		return e, err
-	}
-	if kind != websocket.MessageBinary {
-		return e, errMalformed
-	}
-	if err := decoder.Unmarshal(data, &e); err != nil {
-		return e, fmt.Errorf("%w: %w", errMalformed, err)
-	}
-	return e, nil
-}
--- a/internal/chivehillpeer/mesh.go
+++ b/internal/chivehillpeer/mesh.go
@@ -15,11 +15,11 @@
 	"sync"
 
 	"github.com/coder/websocket"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
 	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillcodec"
 	"github.com/chivehill/chivehill/internal/chivehillid"
 	"github.com/chivehill/chivehill/internal/chivehillmetrics"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
@@ -30,28 +30,12 @@
 	Path = "/peer"
 	// maxMessageBytes bounds one message. A configuration takes most of it.
 	maxMessageBytes = 4 << 20
-	// maxElements bounds arrays and maps in a message.
-	maxElements = 131_072
 	// handshakeTimeout bounds the handshake.
 	handshakeTimeout = 2 * chivehillclock.Second
 	// maxDrift bounds how fast two hosts' clocks move apart, as a fraction.
 	maxDrift = 1e-4
 )
 
-var errMalformed = errors.New("malformed message")
-
-var decoder = mustDecoder()
-
-func mustDecoder() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxArrayElements: maxElements, MaxMapPairs: maxElements, MaxNestedLevels: 16,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // Message is one received message.
 type Message struct {
 	From     chivehillwire.Member
@@ -275,7 +259,7 @@
 		return
 	}
 	for {
-		e, err := read(m.ctx, conn)
+		e, err := chivehillcodec.Read[chivehillwire.Envelope](m.ctx, conn)
 		if err != nil {
 			m.closed("receive", member.Host, err)
 			return
@@ -333,7 +317,7 @@
 func closeReason(step string, err error) string {
 	var closeErr websocket.CloseError
 	switch {
-	case errors.Is(err, errMalformed):
+	case errors.Is(err, chivehillcodec.ErrMalformed):
 		return "malformed"
 	case errors.Is(err, websocket.ErrMessageTooBig):
 		return "too-large"
--- a/internal/chivehillrelay/link.go
+++ b/internal/chivehillrelay/link.go
@@ -2,17 +2,16 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/coder/websocket"
-	"github.com/fxamacker/cbor/v2"
 
 	"github.com/chivehill/chivehill/internal/chivehillcatalog"
 	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillcodec"
 	"github.com/chivehill/chivehill/internal/chivehillid"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
 )
@@ -29,21 +28,8 @@
 	// maxPending is the most updates held for a slow peer; what is dropped then
 	// is asked for by the peer, which learns from heartbeats that it is behind.
 	maxPending = 256
-	maxElement = 131_072
 )
 
-var errMalformed = errors.New("malformed message")
-
-var decoder = mustDecoder()
-
-func mustDecoder() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: maxElement, MaxMapPairs: maxElement, MaxNestedLevels: 16}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // link is one connection with a peer, used in both directions.
 type link struct {
 	relay  *Relay
@@ -99,12 +85,12 @@
 	if err := write(ctx, conn, chivehillwire.RelayMessage{Hello: &hello}); err != nil {
 		return chivehillcatalog.Host{}, err
 	}
-	first, err := read(ctx, conn)
+	first, err := chivehillcodec.Read[chivehillwire.RelayMessage](ctx, conn)
 	if err != nil {
 		return chivehillcatalog.Host{}, err
 	}
 	if first.Hello == nil || first.Hello.Host == "" {
-		return chivehillcatalog.Host{}, fmt.Errorf("%w: no hello", errMalformed)
+		return chivehillcatalog.Host{}, fmt.Errorf("%w: no hello", chivehillcodec.ErrMalformed)
 	}
 	h := first.Hello
 	return chivehillcatalog.Host{
@@ -126,21 +112,9 @@
 	return nil
 }
 
-func read(ctx context.Context, conn *websocket.Conn) (chivehillwire.RelayMessage, error) {
-	var m chivehillwire.RelayMessage
-	_, data, err := conn.Read(ctx)
-	if err != nil {
-		return m, fmt.Errorf("read message: %w", err)
-	}
-	if err := decoder.Unmarshal(data, &m); err != nil {
-		return m, fmt.Errorf("%w: %w", errMalformed, err)
-	}
-	return m, nil
-}
-
 // readAll returns the parts of the next message in order, the message itself last.
 func readAll(ctx context.Context, conn *websocket.Conn) ([]chivehillwire.RelayMessage, error) {
-	outer, err := read(ctx, conn)
+	outer, err := chivehillcodec.Read[chivehillwire.RelayMessage](ctx, conn)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/chivehillrelay/link_test.go
+++ b/internal/chivehillrelay/link_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/chivehill/chivehill/internal/chivehillcatalog"
 	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillcodec"
 	"github.com/chivehill/chivehill/internal/chivehillid"
 	"github.com/chivehill/chivehill/internal/chivehillsuspect"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
@@ -146,7 +147,7 @@
 	}
 	for _, tt := range tests {
 		_, err := unpack(tt.packed)
-		qt.Check(t, err, qt.ErrorIs, errMalformed, qt.Commentf("%s", tt.about))
+		qt.Check(t, err, qt.ErrorIs, chivehillcodec.ErrMalformed, qt.Commentf("%s", tt.about))
 	}
 }
 
@@ -174,8 +175,8 @@
 	}
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		_, _ = unpack(data)
-		var m chivehillwire.RelayMessage
-		if decoder.Unmarshal(data, &m) != nil {
+		m, err := chivehillcodec.Decode[chivehillwire.RelayMessage](data)
+		if err != nil {
 			return
 		}
 		r := newRelay()
--- a/internal/chivehillrelay/pack.go
+++ b/internal/chivehillrelay/pack.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/chivehill/chivehill/internal/chivehillcatalog"
+	"github.com/chivehill/chivehill/internal/chivehillcodec"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
 )
 
@@ -55,10 +56,7 @@
 	if err != nil {
 		return m, err
 	}
-	if err := decoder.Unmarshal(data, &m); err != nil {
-		return m, fmt.Errorf("%w: %w", errMalformed, err)
-	}
-	return m, nil
+	return chivehillcodec.Decode[chivehillwire.RelayMessage](data)
 }
 
 func inflate(packed []byte) ([]byte, error) {
@@ -69,10 +67,10 @@
 	}
 	data, err := io.ReadAll(io.LimitReader(r, maxMessageBytes+1))
 	if err != nil {
-		return nil, fmt.Errorf("%w: inflate: %w", errMalformed, err)
+		return nil, fmt.Errorf("%w: inflate: %w", chivehillcodec.ErrMalformed, err)
 	}
 	if len(data) > maxMessageBytes {
-		return nil, fmt.Errorf("%w: more than %d bytes when inflated", errMalformed, maxMessageBytes)
+		return nil, fmt.Errorf("%w: more than %d bytes when inflated", chivehillcodec.ErrMalformed, maxMessageBytes)
 	}
 	return data, nil
 }
