feat: records of a small collection are logged one by one when it becomes known

Cause: since a large first list is one line, a host that starts while a failure domain is withdrawn had no line that names the domain, which docs/OPERATIONS.md relies on.

Change: up to 16 records are logged besides the line that a collection is known.

--- a/internal/chivehillcatalog/catalog.go
+++ b/internal/chivehillcatalog/catalog.go
@@ -170,11 +170,17 @@
 	}
 }
 
-// logChanges logs each change, and one line alone when a collection becomes known.
+// maxFirstLines is the most records that are logged one by one when a collection
+// becomes known.
+const maxFirstLines = 16
+
+// logChanges logs each change, and that a collection became known.
 func (c *Catalog) logChanges(name Collection, r *records, changes []change, wasKnown bool) {
 	if !wasKnown && r.known {
 		c.Log.Info().Str("collection", string(name)).Int("records", len(r.live)).Uint64("as-of", uint64(r.asOf)).Msg("catalog: collection known.")
-		return
+		if len(changes) > maxFirstLines {
+			return
+		}
 	}
 	for _, e := range changes {
 		c.Log.Info().Str("collection", string(name)).Str("name", e.record.Name).Uint64("revision", uint64(e.record.Revision)).
--- a/internal/chivehillcatalog/catalog_test.go
+++ b/internal/chivehillcatalog/catalog_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"strconv"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -145,3 +146,28 @@
 		qt.Check(t, before, qt.HasLen, size, qt.Commentf("%s: a view does not change", tt.about))
 	}
 }
+
+// TestFirstRecordsAreLogged counts the lines when a collection becomes known:
+// one for each record of a small one, one alone for a large one.
+func TestFirstRecordsAreLogged(t *testing.T) {
+	tests := []struct {
+		records, lines int
+	}{
+		{0, 1},
+		{maxFirstLines, maxFirstLines + 1},
+		{maxFirstLines + 1, 1},
+	}
+	for _, tt := range tests {
+		var lines strings.Builder
+		c := New(Options{Decoder: numbers{}, Log: zerolog.New(&lines)})
+		u := Update{Full: true, AsOf: 5}
+		for i := range tt.records {
+			u.Records = append(u.Records, Record{Name: strconv.Itoa(i), Revision: 1})
+		}
+		c.Apply(Hosts, u)
+		qt.Check(t, strings.Count(lines.String(), "\n"), qt.Equals, tt.lines, qt.Commentf("%d", tt.records))
+		before := strings.Count(lines.String(), "\n")
+		c.Apply(Hosts, Update{Since: 5, AsOf: 6, Records: []Record{{Name: "new", Revision: 6}}})
+		qt.Check(t, strings.Count(lines.String(), "\n"), qt.Equals, before+1, qt.Commentf("%d", tt.records))
+	}
+}
