fix: a server that comes is asked, also beside idle ones that this host is connected with

Cause: since a server that has not answered lately ranks like one that runs a request more. Under light load a server that joined, started again or came back was never first, and the first candidate ends the search if it told a good load within 15 ms: the server could stay without work. Seen as TestDrainedServerGetsNothing, "the server gets work again": 2 of 10 runs of the platform's tests, five side by side.

Ruled out: load alone (the old code fails 1 of 144 subtests run by themselves, the new one none; 15 whole runs five side by side, none), and no penalty for servers that were never asked, which gives up the kept connections for as long as a first start lasts.

Change: a server that joins, restarts, drains no more or whose failure domain comes back ranks without the penalty until it answers. Any answer counts as heard, not only one with a load, so that servers which tell none are not preferred for ever.

Test: TestServersThatComeAreAsked, first 0 of 200 times before. TestConnectionsAreKept starts after the answers of its fixture have aged, since any answer counts now; its bounds are as they were.

--- a/internal/chivehillplace/load_test.go
+++ b/internal/chivehillplace/load_test.go
@@ -49,7 +49,10 @@
 		servers[i] = server(chivehillid.ServerID(fmt.Sprintf("i-%d", i)), "e1")
 	}
 	for range playHosts {
-		p.hosts = append(p.hosts, &playHost{fixture: newFixture(servers...), idle: make(map[chivehillid.ServerID][]chivehillclock.Millis)})
+		h := &playHost{fixture: newFixture(servers...), idle: make(map[chivehillid.ServerID][]chivehillclock.Millis)}
+		// The answers that the fixture gives are no connections here.
+		h.clock.Advance(keptFor + 1)
+		p.hosts = append(p.hosts, h)
 	}
 	return p
 }
--- a/internal/chivehillplace/outcome.go
+++ b/internal/chivehillplace/outcome.go
@@ -103,6 +103,7 @@
 }
 
 func (s *state) observe(now chivehillclock.Millis, r chivehillupstream.Remarks) {
+	s.heardAt, s.heard, s.awaited = now, true, false
 	if r.ColdLeft > 0 {
 		s.coldUntil = max(s.coldUntil, now+r.ColdLeft)
 	}
--- a/internal/chivehillplace/place_test.go
+++ b/internal/chivehillplace/place_test.go
@@ -306,3 +306,66 @@
 	}
 	qt.Check(t, ids(f.table.Far(anywhere, 3)), qt.DeepEquals, []chivehillid.ServerID{"i-02", "i-05", "i-08"})
 }
+
+// TestServersThatComeAreAsked lets a server come beside one that is idle and just
+// told so: it is the first to be asked about as often, until it has answered.
+func TestServersThatComeAreAsked(t *testing.T) {
+	load := Served{Remarks: chivehillupstream.Remarks{HasLoad: true, Load: chivehillupstream.Load{Slots: 4, Pace: chivehillupstream.UsualPace}}}
+	for _, answer := range []Served{load, {}} {
+		checkServersThatCome(t, answer)
+	}
+}
+
+// checkServersThatCome does so with servers that give an answer.
+func checkServersThatCome(t *testing.T, load Served) {
+	tests := []struct {
+		about string
+		come  func(f *fixture)
+	}{
+		{"joins", func(f *fixture) {
+			delete(f.view.Servers, "b")
+			f.sync()
+			f.view.Servers["b"] = server("b", "e1")
+			f.sync()
+		}},
+		{"starts again", func(f *fixture) {
+			s := f.view.Servers["b"]
+			s.Started = 7
+			f.view.Servers["b"] = s
+			f.sync()
+		}},
+		{"drains no more", func(f *fixture) {
+			s := f.view.Servers["b"]
+			s.Draining = true
+			f.view.Servers["b"] = s
+			f.sync()
+			s.Draining = false
+			f.view.Servers["b"] = s
+			f.sync()
+		}},
+		{"its failure domain comes back", func(f *fixture) {
+			f.view.Withdrawn = map[chivehillid.DomainID]bool{"e1": true}
+			f.sync()
+			f.view.Withdrawn = nil
+			f.sync()
+		}},
+	}
+	for _, tt := range tests {
+		f := newFixture(server("a", "e1"), server("b", "e1"))
+		f.table.Checked("b", true, load)
+		f.clock.Advance(keptFor + 1)
+		tt.come(f)
+		f.table.Checked("a", true, load)
+		first := 0
+		for range 200 {
+			if f.table.Near(anywhere, 1)[0].ID() == "b" {
+				first++
+			}
+		}
+		qt.Check(t, first > 50, qt.IsTrue, qt.Commentf("%s: first %d of 200 times", tt.about, first))
+		f.table.Checked("b", true, load)
+		f.clock.Advance(keptFor + 1)
+		f.table.Checked("a", true, load)
+		qt.Check(t, ids(f.table.Near(anywhere, 1)), qt.DeepEquals, []chivehillid.ServerID{"a"}, qt.Commentf("%s: then like any other", tt.about))
+	}
+}
--- a/internal/chivehillplace/server.go
+++ b/internal/chivehillplace/server.go
@@ -42,6 +42,12 @@
 	load        chivehillupstream.Load
 	loadAt      chivehillclock.Millis
 	hasLoad     bool
+	// heardAt is when the server answered last, heard whether it did.
+	heardAt chivehillclock.Millis
+	heard   bool
+	// awaited is set from when the server came until it answers: it is asked
+	// although this host has no connection with it.
+	awaited bool
 	// doubtful is set until a health check tells whether the server is cold.
 	doubtful bool
 	// coldUntil is when the server ceases to be cold, as it said last.
--- a/internal/chivehillplace/table.go
+++ b/internal/chivehillplace/table.go
@@ -79,6 +79,8 @@
 		s := t.servers[id]
 		if s == nil {
 			s = newState(now, e)
+			// What the first list holds is there already; it does not come.
+			s.awaited = len(t.servers) > 0
 		}
 		s.update(now, e, t.withdrawn[e.Domain] && !v.Withdrawn[e.Domain])
 		servers[id] = s
@@ -108,6 +110,9 @@
 	if restarted || returned {
 		s.doubtful = true
 	}
+	if restarted || returned || s.entry.Draining && !e.Draining {
+		s.awaited = true
+	}
 	if e.ColdLeft > 0 && e != s.entry {
 		s.coldUntil = max(s.coldUntil, now+e.ColdLeft)
 	}
@@ -215,7 +220,7 @@
 	if now < s.refusedUntil {
 		score += refusedPenalty
 	}
-	if !s.hasLoad || now-s.loadAt > keptFor {
+	if !s.awaited && (!s.heard || now-s.heardAt > keptFor) {
 		score += strangerPenalty
 	}
 	return score
