feat: log and count servers that state a rate limit

What callers saw: nothing; operators could not tell which servers limit their rate, nor which host knows it.

Cause: the header was not read, so neither log nor metrics could tell whether a host does not know a limit or knows it and does not act on it, nor whether it learns it from probes or from requests.

Ruled out: a line for each response; only the first one that states a limit and the first that states none any more are logged, with their origin.

Nothing decides on it yet.

--- a/internal/chivehillhost/host.go
+++ b/internal/chivehillhost/host.go
@@ -251,6 +251,7 @@
 func (h *Host) cleanUp(ctx context.Context) {
 	chivehillclock.Every(ctx, cleanupInterval, func() {
 		h.pools.Prune(h.catalog.View().Servers)
+		h.metrics.RateLimited.Set(float64(h.table.RateLimited()))
 		h.removeDownHosts(ctx)
 	})
 }
--- a/internal/chivehillmetrics/gateway.go
+++ b/internal/chivehillmetrics/gateway.go
@@ -35,6 +35,8 @@
 	Down prometheus.Gauge
 	// Watching is 1 while this host watches the store.
 	Watching prometheus.Gauge
+	// RateLimited is the number of servers that state a rate limit.
+	RateLimited prometheus.Gauge
 }
 
 // NewGateway registers all metrics. Each refusal and retry reason starts at zero,
@@ -54,8 +56,10 @@
 		LogDropped: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "chivehill", Name: "log_dropped_total", Help: "Log lines dropped."}),
 		Down:       gauge("hosts_down", "Hosts that callers are not sent to."),
 		Watching:   gauge("watching", "1 while this host watches the store."),
+
+		RateLimited: gauge("servers_rate_limited", "Servers that state a rate limit."),
 	}
-	m.Registry.MustRegister(m.Requests, m.Refusals, m.Retries, m.Probes, m.StoreCalls, m.Seconds, m.Version, m.LogDropped, m.Down, m.Watching,
+	m.Registry.MustRegister(m.Requests, m.Refusals, m.Retries, m.Probes, m.StoreCalls, m.Seconds, m.Version, m.LogDropped, m.Down, m.Watching, m.RateLimited,
 		collectors.NewGoCollector())
 	for _, r := range chivehillreason.Refusals {
 		m.Refusals.WithLabelValues(string(r), string(chivehillreason.NotRun))
--- a/internal/chivehillselector/outcome.go
+++ b/internal/chivehillselector/outcome.go
@@ -51,7 +51,7 @@
 	s.mu.Lock()
 	s.running--
 	s.mu.Unlock()
-	t.recordOutcome(id, s, o)
+	t.recordOutcome(id, s, o, fromRequest)
 }
 
 // RecordProbe records the outcome of a probe. healthy is false if the server
@@ -61,7 +61,7 @@
 	if s == nil {
 		return
 	}
-	t.recordOutcome(id, s, o)
+	t.recordOutcome(id, s, o, fromProbe)
 	served, ok := o.(Served)
 	if !ok {
 		return
@@ -79,18 +79,28 @@
 	}
 }
 
+// origin names what an outcome belongs to, in log lines.
+type origin string
+
+const (
+	fromRequest origin = "request"
+	fromProbe   origin = "probe"
+)
+
 // recordOutcome updates the state of a server with the outcome of a request or a
 // probe.
-func (t *Table) recordOutcome(id chivehillid.ServerID, s *serverState, o Outcome) {
+func (t *Table) recordOutcome(id chivehillid.ServerID, s *serverState, o Outcome, from origin) {
 	now := t.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch o := o.(type) {
 	case Served:
 		s.recordResponse(now, o.Metadata)
+		t.recordRateLimit(id, s, o.Metadata, from)
 		s.recordSuccess()
 	case Refused:
 		s.recordResponse(now, o.Metadata)
+		t.recordRateLimit(id, s, o.Metadata, from)
 		s.refusedUntil = now + refusalPenaltyTime
 	case Failed:
 		s.coldUnknown = true
@@ -108,6 +118,16 @@
 	}
 }
 
+// recordRateLimit stores the rate limit that a response states, and logs when a server
+// begins or ceases to state one. The caller must hold the server's lock.
+func (t *Table) recordRateLimit(id chivehillid.ServerID, s *serverState, r chivehillupstream.ResponseMetadata, from origin) {
+	if (s.rateLimit > 0) != (r.RateLimit > 0) {
+		t.log.Info().Str("server", string(id)).Str("from", string(from)).Float64("requests-per-second", float64(r.RateLimit)).
+			Msg("selector: server began or ceased to state a rate limit.")
+	}
+	s.rateLimit = r.RateLimit
+}
+
 // recordResponse stores the load and the cold time that a response reports.
 func (s *serverState) recordResponse(now chivehillclock.Millis, r chivehillupstream.ResponseMetadata) {
 	s.lastResponseAt, s.hasResponded, s.newlyAvailable = now, true, false
--- a/internal/chivehillselector/server.go
+++ b/internal/chivehillselector/server.go
@@ -65,6 +65,8 @@
 	failureRate  float64
 	ejectedUntil chivehillclock.Millis
 	refusedUntil chivehillclock.Millis
+	// rateLimit is the limit that the server's last response stated; 0 if it stated none.
+	rateLimit chivehillupstream.RequestsPerSecond
 }
 
 // mayBeCold reports whether the server is cold or not known to be warm.
--- a/internal/chivehillselector/table.go
+++ b/internal/chivehillselector/table.go
@@ -305,6 +305,21 @@
 	s.pendingProbesSince = t.clock.Now()
 }
 
+// RateLimited returns the number of servers that state a rate limit.
+func (t *Table) RateLimited() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	n := 0
+	for _, s := range t.servers {
+		s.mu.Lock()
+		if s.rateLimit > 0 {
+			n++
+		}
+		s.mu.Unlock()
+	}
+	return n
+}
+
 // RecentLoad returns the load that a server last reported, and whether the report is at
 // most age old.
 func (t *Table) RecentLoad(id chivehillid.ServerID, age chivehillclock.Millis) (chivehillupstream.Load, bool) {
--- a/internal/chivehillupstream/types.go
+++ b/internal/chivehillupstream/types.go
@@ -18,6 +18,9 @@
 // UsualPace is the pace of a server that shares its machine with no other load.
 const UsualPace Percent = 100
 
+// RequestsPerSecond is a request rate.
+type RequestsPerSecond float64
+
 // Load is the load that a server reports.
 type Load struct {
 	Running int
@@ -46,6 +49,9 @@
 	ColdRemaining chivehillclock.Millis
 	Load          Load
 	HasLoad       bool
+	// RateLimit is how many requests a second the server accepts from all hosts together;
+	// 0 if it states no limit.
+	RateLimit RequestsPerSecond
 }
 
 // HeaderParser parses the response headers that are meant for the gateway.
