fix: all hosts together keep to the rate limit that a server states

Cause: the limit was not acted on, and a limited server looks idle, so that it was preferred. A bound kept by each host alone would be exceeded by as many times as there are hosts: no host knows the others' part.

Evidence: in the 4 s before a broken window i-f4313c1eac (2.5 a second) answered requests of eight hosts of three failure domains, i-40f425ee5c those of three hosts; each host near the limit by itself.

Ruled out: that hosts learn it too late (each choice is preceded by a probe that states it); dividing by the number of hosts alone (with 139 hosts the requests at once of all exceed a limit of 2 a second many times); one responsible host a server as for cold ones (a host then has requests and no share of the servers beside it); grants asked for at an owner (a round trip a request, and an owner to be found again when it is gone).

Change: of the live hosts of the server's failure domain, those with the highest hash of both names divide the limit equally, and so few that one request at once of each is at most what the limit allows in 2 s. A host whose share is used up does not choose the server, nor offers it to waiting requests; after 2 s without a response it may probe it last, to notice the end of the limit. Cold servers use the same shares, with one host. The refusal test lets one more call of the share pass, since the response to a probe is now checked too; what it asserts is as before.

Why it works: shares of one view add up to 1 (test), so a window of 4 s gets at most 4 s of the limit and the requests at once, 2 s of it: 1.5 times in all, which is the bound without its 5 requests.

--- a/internal/chivehillgateway/choose.go
+++ b/internal/chivehillgateway/choose.go
@@ -205,7 +205,8 @@
 }
 
 // handleProbe records the response to a probe in the table. It returns nil if
-// the server is not healthy or another server has the address.
+// the server is not healthy, another server has the address or its rate permits no
+// request of this host now.
 func (g *Gateway) handleProbe(candidate chivehillselector.Candidate, response chivehillupstream.Response, usable bool, lease *chivehillupstream.Lease, serviceTime chivehillclock.Millis) *choice {
 	metadata := response.Metadata
 	if metadata.Instance != "" && metadata.Instance != candidate.ID() {
@@ -225,7 +226,7 @@
 	if usable {
 		chosen.lease = lease
 	}
-	if !healthy {
+	if !healthy || !g.Table.MayClaim(candidate.ID()) {
 		chosen.release()
 		return nil
 	}
--- a/internal/chivehillgateway/refusals_test.go
+++ b/internal/chivehillgateway/refusals_test.go
@@ -179,12 +179,16 @@
 		catalog.Apply(chivehillcatalog.Configurations, chivehillcatalog.Update{Full: true, AsOf: 9, Records: []chivehillcatalog.Record{{Name: "main", Revision: 1}}})
 	}
 	calls := 0
-	responsible := func(chivehillcatalog.Server) bool {
+	// The candidate and the probe's response pass, Claim does not.
+	share := func(chivehillcatalog.Server, int) float64 {
 		calls++
-		return calls == 1
+		if calls <= 2 {
+			return 1
+		}
+		return 0
 	}
 	location := chivehillselector.Location{Domain: "e1", Region: "e", Regions: map[chivehillid.DomainID]chivehillid.RegionID{"e1": "e"}}
-	table := chivehillselector.NewTable(location, clock, responsible, zerolog.Nop())
+	table := chivehillselector.NewTable(location, clock, share, zerolog.Nop())
 	table.Sync(catalog.View)
 	return New(Options{
 		Catalog: testCatalogSource{catalog: catalog, confirmed: !s.unconfirmed}, Table: table, Pools: NewPools(testHeaderCodec{}),
--- a/internal/chivehillgateway/wait.go
+++ b/internal/chivehillgateway/wait.go
@@ -106,9 +106,9 @@
 }
 
 // offerCapacity assigns a server to a queued request if the server has spare
-// capacity and is not cold.
+// capacity, is not cold and its rate permits one more request of this host.
 func (g *Gateway) offerCapacity(candidate chivehillselector.Candidate, load chivehillupstream.Load) {
-	if chivehillselector.HasCapacity(load) && !candidate.Cold {
+	if chivehillselector.HasCapacity(load) && !candidate.Cold && g.Table.MayClaim(candidate.ID()) {
 		g.queues.forService(candidate.Server.Service).Offer(g.Clock.Now(), candidate, g.Table.Eligible)
 	}
 }
--- a/internal/chivehillhost/host.go
+++ b/internal/chivehillhost/host.go
@@ -88,7 +88,7 @@
 	// goroutine of keepRegistered uses it.
 	hostsListed bool
 
-	responsibilityCache atomic.Pointer[responsibilityCache]
+	shareCache atomic.Pointer[shareCache]
 	// liveGeneration counts the changes that may alter the set of live hosts.
 	liveGeneration atomic.Uint64
 	leaving        atomic.Bool
@@ -109,7 +109,7 @@
 	}
 	h.bounds.Store(&s.Bounds)
 	location := chivehillselector.Location{Domain: s.FailureDomain, Region: s.Region, Regions: s.Domains}
-	h.table = chivehillselector.NewTable(location, h.clock, h.responsible, log)
+	h.table = chivehillselector.NewTable(location, h.clock, h.share, log)
 	h.catalog = chivehillcatalog.New(chivehillcatalog.Options{Decoder: p.Decoder, Log: log, OnChange: h.onCatalogChange})
 	h.watchCtx, h.cancelWatch = context.WithCancel(context.Background())
 	h.watcher = &chivehillwatcher.Watcher{Store: p.Store, Catalog: h.catalog, Clock: h.clock, Metrics: h.metrics, Log: log}
--- a/internal/chivehillhost/responsibility_test.go
+++ b/internal/chivehillhost/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 
@@ -64,11 +65,15 @@
 			s := chivehillcatalog.Server{ID: chivehillid.ServerID(fmt.Sprintf("i-%d", n)), Domain: []chivehillid.DomainID{"e1", "e2", "w1"}[n%3]}
 			var chosen []chivehillid.HostID
 			for id, h := range hosts {
-				if !slices.Contains(tt.down, id) && h.responsible(s) {
+				if !slices.Contains(tt.down, id) && h.share(s, 1) == 1 {
 					chosen = append(chosen, id)
 				}
 			}
 			qt.Assert(t, chosen, qt.HasLen, 1, qt.Commentf("%s: %s", tt.about, s.ID))
+			for _, sharers := range []int{2, 3, 40} {
+				sum := sumOfShares(hosts, tt.down, s, sharers)
+				qt.Check(t, math.Abs(sum-1) < 1e-9, qt.IsTrue, qt.Commentf("%s: %s, %d sharers: the shares add up to %v", tt.about, s.ID, sharers, sum))
+			}
 			host := entries[chosen[0]]
 			away := tt.elsewhere && s.Domain == "e2"
 			qt.Check(t, host.Domain != s.Domain, qt.Equals, away, qt.Commentf("%s: %s", tt.about, s.ID))
@@ -82,6 +87,17 @@
 	}
 }
 
+// sumOfShares returns the sum of the shares of a server's rate over all hosts that are up.
+func sumOfShares(hosts map[chivehillid.HostID]*Host, down []chivehillid.HostID, s chivehillcatalog.Server, sharers int) float64 {
+	sum := 0.0
+	for id, h := range hosts {
+		if !slices.Contains(down, id) {
+			sum += h.share(s, sharers)
+		}
+	}
+	return sum
+}
+
 // BenchmarkResponsible measures the decision for one server among 300 hosts.
 func BenchmarkResponsible(b *testing.B) {
 	h := New(chivehillwire.GatewaySettings{Host: "host-0", FailureDomain: "e1"}, Platform{Decoder: readyDecoder{}}, zerolog.Nop())
@@ -95,12 +111,12 @@
 	s := chivehillcatalog.Server{ID: "i-1", Domain: "e1"}
 	b.Run("without cache", func(b *testing.B) {
 		for b.Loop() {
-			h.chooseResponsible(s, h.live())
+			h.computeShare(s, h.live(), 1)
 		}
 	})
 	b.Run("with cache", func(b *testing.B) {
 		for b.Loop() {
-			h.responsible(s)
+			h.share(s, 1)
 		}
 	})
 }
--- a/internal/chivehillselector/outcome.go
+++ b/internal/chivehillselector/outcome.go
@@ -124,6 +124,7 @@
 	if (s.rateLimit > 0) != (r.RateLimit > 0) {
 		t.log.Info().Str("server", string(id)).Str("from", string(from)).Float64("requests-per-second", float64(r.RateLimit)).
 			Msg("selector: server began or ceased to state a rate limit.")
+		s.rateBucket = bucket{refilledAt: t.clock.Now()}
 	}
 	s.rateLimit = r.RateLimit
 }
--- a/internal/chivehillselector/selector_test.go
+++ b/internal/chivehillselector/selector_test.go
@@ -22,12 +22,16 @@
 	clock       *chivehillclock.Clock
 	view        chivehillcatalog.View
 	responsible bool
+	// hosts is the number of hosts that divide bounded rates, 0 for one, and position this
+	// host's place among them.
+	hosts    int
+	position int
 }
 
 func newFixture(servers ...chivehillcatalog.Server) *fixture {
 	f := &fixture{clock: chivehillclock.NewManual(), responsible: true}
 	location := Location{Domain: "e1", Region: "e", Regions: map[chivehillid.DomainID]chivehillid.RegionID{"e1": "e", "e2": "e", "w1": "w"}}
-	f.table = NewTable(location, f.clock, func(chivehillcatalog.Server) bool { return f.responsible }, zerolog.Nop())
+	f.table = NewTable(location, f.clock, f.share, zerolog.Nop())
 	f.view = chivehillcatalog.View{
 		Configuration: chivehillcatalog.Configuration{Services: map[chivehillid.ServiceID]chivehillcatalog.Service{"s": {ID: "s", ColdRequestsPerSecond: coldPerSecond}}},
 		Servers:       make(map[chivehillid.ServerID]chivehillcatalog.Server), Withdrawn: make(map[chivehillid.DomainID]bool), ServersSynced: true,
@@ -42,6 +46,14 @@
 	return f
 }
 
+// share gives equal parts to the responsible hosts among the first sharers.
+func (f *fixture) share(_ chivehillcatalog.Server, sharers int) float64 {
+	if !f.responsible || f.position >= sharers {
+		return 0
+	}
+	return 1 / float64(min(sharers, max(1, f.hosts)))
+}
+
 func (f *fixture) sync() { f.table.Sync(func() chivehillcatalog.View { return f.view }) }
 
 // candidates returns all servers that are eligible for a request.
--- a/internal/chivehillselector/server.go
+++ b/internal/chivehillselector/server.go
@@ -58,15 +58,16 @@
 	coldUnknown bool
 	// coldUntil is when the server stops being cold, by its last report.
 	coldUntil chivehillclock.Millis
-	// coldTokens is the token bucket that limits requests to the server while it is cold.
-	coldTokens   float64
-	coldRefillAt chivehillclock.Millis
+	// coldBucket bounds the rate of requests to the server while it may be cold.
+	coldBucket bucket
 	// failureRate is a moving average of failed requests, between 0 and 1.
 	failureRate  float64
 	ejectedUntil chivehillclock.Millis
 	refusedUntil chivehillclock.Millis
 	// rateLimit is the limit that the server's last response stated; 0 if it stated none.
 	rateLimit chivehillupstream.RequestsPerSecond
+	// rateBucket bounds the rate of requests to the server while it states a limit.
+	rateBucket bucket
 }
 
 // mayBeCold reports whether the server is cold or not known to be warm.
@@ -83,13 +84,6 @@
 	return s.pendingProbes > 0 && now-s.pendingProbesSince >= unresponsiveAfter
 }
 
-// refill adds the tokens accrued since the last call, up to burst.
-func (s *serverState) refill(now chivehillclock.Millis, perSecond, burst float64) {
-	elapsed := float64(now-s.coldRefillAt) / float64(chivehillclock.Second)
-	s.coldTokens = min(burst, s.coldTokens+elapsed*perSecond)
-	s.coldRefillAt = now
-}
-
 // recordFailure raises the failure rate and reports whether the server is ejected for it.
 func (s *serverState) recordFailure(now chivehillclock.Millis) (ejected bool) {
 	s.failureRate += failureWeight * (1 - s.failureRate)
--- a/internal/chivehillselector/table.go
+++ b/internal/chivehillselector/table.go
@@ -23,8 +23,6 @@
 	// requests in any second. TestColdRateBoundHoldsForTwoHosts checks this at a rate of
 	// 8 requests a second only.
 	coldRateShare = 0.9
-	// coldBurst is the maximum number of requests sent to a cold server at once.
-	coldBurst = 1
 	// refusalPenalty ranks a server that recently refused a request behind the others.
 	refusalPenalty = 100
 	// unconnectedPenalty ranks a server to which this host has no open connection as if
@@ -46,17 +44,17 @@
 // byDistance groups the servers of a service by their distance from this host.
 type byDistance [OtherRegion + 1][]*serverState
 
-// Responsible reports whether this host is the one that may send requests to a
-// cold server.
-type Responsible func(chivehillcatalog.Server) bool
+// Share returns which part of the requests that all hosts together may send to a
+// server this host may send, between 0 and 1, if at most sharers hosts divide them.
+type Share func(s chivehillcatalog.Server, sharers int) float64
 
 // Table holds the state of all servers. It is safe for concurrent use; each server
 // has its own lock.
 type Table struct {
-	location    Location
-	clock       *chivehillclock.Clock
-	responsible Responsible
-	log         zerolog.Logger
+	location Location
+	clock    *chivehillclock.Clock
+	share    Share
+	log      zerolog.Logger
 
 	mu      sync.RWMutex
 	servers map[chivehillid.ServerID]*serverState
@@ -67,8 +65,8 @@
 }
 
 // NewTable returns an empty table.
-func NewTable(location Location, clock *chivehillclock.Clock, responsible Responsible, log zerolog.Logger) *Table {
-	return &Table{location: location, clock: clock, responsible: responsible, log: log, servers: make(map[chivehillid.ServerID]*serverState)}
+func NewTable(location Location, clock *chivehillclock.Clock, share Share, log zerolog.Logger) *Table {
+	return &Table{location: location, clock: clock, share: share, log: log, servers: make(map[chivehillid.ServerID]*serverState)}
 }
 
 // Sync updates the table to the servers, withdrawn failure domains and services of
@@ -105,7 +103,7 @@
 // newServerState returns the state of a server that was not in the table. Whether it
 // is cold is unknown until a probe.
 func newServerState(now chivehillclock.Millis, e chivehillcatalog.Server) *serverState {
-	return &serverState{entry: e, coldUnknown: true, coldUntil: now + e.ColdRemaining, coldRefillAt: now, coldTokens: coldBurst}
+	return &serverState{entry: e, coldUnknown: true, coldUntil: now + e.ColdRemaining, coldBucket: bucket{tokens: bucketSize, refilledAt: now}}
 }
 
 // update replaces the entry. domainReturned is set if the server's failure domain is
@@ -117,6 +115,9 @@
 	if restarted || domainReturned {
 		s.coldUnknown = true
 	}
+	if restarted {
+		s.rateLimit = 0
+	}
 	if restarted || domainReturned || s.entry.Draining && !e.Draining {
 		s.newlyAvailable = true
 	}
@@ -193,20 +194,17 @@
 		return Candidate{}, false
 	}
 	cold := now < s.coldUntil
-	if cold && !t.maySendCold(now, s) {
+	if cold && !t.withinColdRate(now, s) {
 		return Candidate{}, false
 	}
-	return Candidate{Server: e, Distance: t.distance(e.Domain, region), Cold: cold, ColdUnknown: s.coldUnknown, score: s.score(now)}, true
-}
-
-// maySendCold reports whether this host may send a request to a cold server now. The
-// caller must hold the server's lock.
-func (t *Table) maySendCold(now chivehillclock.Millis, s *serverState) bool {
-	if !t.responsible(s.entry) {
-		return false
+	score := s.score(now)
+	if s.rateLimit > 0 && !t.withinRateLimit(now, s) {
+		if now-s.lastResponseAt < rateLimitCheckInterval {
+			return Candidate{}, false
+		}
+		score += refusalPenalty
 	}
-	s.refill(now, coldRateShare*t.services[s.entry.Service].ColdRequestsPerSecond, coldBurst)
-	return s.coldTokens >= 1
+	return Candidate{Server: e, Distance: t.distance(e.Domain, region), Cold: cold, ColdUnknown: s.coldUnknown, score: score}, true
 }
 
 func (t *Table) distance(d chivehillid.DomainID, r chivehillid.RegionID) Distance {
@@ -263,16 +261,30 @@
 	if s.entry.Draining || s.entry.Service != c.Server.Service {
 		return false
 	}
+	if !t.withinRates(now, s) {
+		return false
+	}
 	if s.mayBeCold(now) {
-		if !t.maySendCold(now, s) {
-			return false
-		}
-		s.coldTokens--
+		s.coldBucket.tokens--
+	}
+	if s.rateLimit > 0 {
+		s.rateBucket.tokens--
 	}
 	s.running++
 	return true
 }
 
+// MayClaim reports whether the rates of a server permit one more request of this host now.
+func (t *Table) MayClaim(id chivehillid.ServerID) bool {
+	s := t.get(id)
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return t.withinRates(t.clock.Now(), s)
+}
+
 // Eligible reports whether a candidate may handle a request with the given requirements.
 func (t *Table) Eligible(requirements Requirements, c Candidate) bool {
 	return c.Server.Service == requirements.Service && !slices.Contains(requirements.Exclude, c.ID()) && requirements.Regions.Allows(t.location.Regions[c.Server.Domain])
