feat: log the store's era

Cause: the era that the store states in each answer was not read.

Ruled out: a line for each host; only hosts that watch the store read its answers.

Nothing decides on it yet.

--- a/internal/chivehillcatalog/types.go
+++ b/internal/chivehillcatalog/types.go
@@ -37,6 +37,10 @@
 	Deleted bool
 }
 
+// Era counts how often the store came back from an older copy of its content. Revisions
+// are given out again in each era.
+type Era uint64
+
 // Update is a full list of a collection or a batch of changes to it.
 type Update struct {
 	// Full is set if Records lists every object of the collection.
@@ -47,6 +51,8 @@
 	// AsOf is the revision up to which Records is complete.
 	AsOf    Revision
 	Records []Record
+	// Era is the store's era when it answered, 0 if it states none.
+	Era Era
 }
 
 // Target is a service that requests of a route are sent to.
--- a/internal/chivehillwatcher/watcher.go
+++ b/internal/chivehillwatcher/watcher.go
@@ -71,6 +71,8 @@
 	// cancelWatch cancels the current watch of each collection, for use when the
 	// connections seem to be dead.
 	cancelWatch map[chivehillcatalog.Collection]context.CancelFunc
+	// era is the highest era in an answer of the store.
+	era chivehillcatalog.Era
 }
 
 // Run lists and watches all collections until ctx ends.
@@ -238,12 +240,25 @@
 }
 
 func (w *Watcher) apply(c chivehillcatalog.Collection, u chivehillcatalog.Update) {
+	w.recordEra(c, u)
 	delta := w.Catalog.Apply(c, u)
 	if w.OnUpdate != nil {
 		w.OnUpdate(c, delta)
 	}
 }
 
+// recordEra logs when the store's era changes.
+func (w *Watcher) recordEra(c chivehillcatalog.Collection, u chivehillcatalog.Update) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if u.Era <= w.era {
+		return
+	}
+	w.Log.Info().Str("collection", string(c)).Uint64("era", uint64(u.Era)).Uint64("as-of", uint64(u.AsOf)).
+		Uint64("held-as-of", uint64(w.Catalog.AsOf(c))).Msg("watcher: store is in a new era.")
+	w.era = u.Era
+}
+
 func (w *Watcher) countCall(operation string, err error) {
 	result := "ok"
 	if err != nil {
