fix: what the store lost and gives out again undoes nothing that is known

Cause: catalog, relay and watcher ordered all they learnt by the store's revision, as if it never went back. Records with lower revisions were dropped as older; a collection counted as complete up to the highest revision ever seen, so each watch got 410 and each list changed nothing.

Evidence: `watcher: store is in a new era.` with era 2, as-of 48, held-as-of 49; 1,192 lines that history is gone in the 4.5 s after; no configuration received from then on.

Ruled out: a history that was dropped (the era tells); taking the list of a new era as it is (it undoes drained servers, withdrawn failure domains, hosts that left); forgetting everything at a new era (all hosts would be without servers or routes for a moment).

Against the first list of an era, records of an earlier era hold where they are newer or missing, until they are written again or 2.5 s are over; what was removed stays removed; a configuration never gives way to an older version. A host writes its entry again if the store has lost it; watching hosts remove the entries of hosts that left, and no entry is removed by a revision of an earlier era.

Why it works: within an era revisions only grow, across eras the era does, so the order that all parts relied on holds again; what the copy lacks is known to hosts that were there, and their peers get it as before.

--- a/internal/chivehillcatalog/catalog.go
+++ b/internal/chivehillcatalog/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -79,6 +80,7 @@
 	for _, name := range Collections {
 		c.collections[name] = &collectionState{records: newRecords()}
 	}
+	c.collections[Configurations].records.precedes = c.hasOlderVersion
 	return c
 }
 
@@ -108,6 +110,15 @@
 	return s.records.asOf, s.records.digest
 }
 
+// Record returns a record of a collection.
+func (c *Catalog) Record(collection Collection, name string) (Record, bool) {
+	s := c.collections[collection]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, found := s.records.live[name]
+	return r, found
+}
+
 // Confirm raises the revision up to which a collection is complete to that of a
 // peer, if the digest shows that the peer holds the same records.
 func (c *Catalog) Confirm(name Collection, asOf Revision, digest Digest) {
@@ -133,10 +144,39 @@
 
 // Apply merges an update into a collection and returns the changes that took effect.
 func (c *Catalog) Apply(name Collection, u Update) Update {
+	return c.change(name, func(r *records) []change { return r.apply(time.Now(), u) })
+}
+
+// Unsettled reports whether the store came back from a copy and the collection still
+// holds records that the copy lacks. Settle ends that.
+func (c *Catalog) Unsettled(name Collection) bool {
+	s := c.collections[name]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.records.copied.older)+len(s.records.copied.missing) > 0
+}
+
+// Settle gives up the records that the store lacks since it came back from a copy in the
+// given era, and returns the changes.
+func (c *Catalog) Settle(name Collection, era Era) Update {
+	return c.change(name, func(r *records) []change { return r.settle(time.Now(), era) })
+}
+
+// Returned returns the records that were removed before the store came back from a copy,
+// and that the copy still has.
+func (c *Catalog) Returned(name Collection) []Record {
+	s := c.collections[name]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.records.copied.removed))
+}
+
+// change changes the records of a collection and returns the changes that took effect.
+func (c *Catalog) change(name Collection, apply func(*records) []change) Update {
 	s := c.collections[name]
 	s.mu.Lock()
 	wasSynced, previousAsOf := s.records.synced, s.records.asOf
-	changes := s.records.apply(time.Now(), u)
+	changes := apply(s.records)
 	delta := Update{Since: previousAsOf, AsOf: s.records.asOf}
 	for _, e := range changes {
 		record := e.record
@@ -215,6 +255,17 @@
 	}
 }
 
+// hasOlderVersion reports whether a configuration has a lower version than another one.
+// One that cannot be decoded has none.
+func (c *Catalog) hasOlderVersion(a, b Record) bool {
+	older, err := c.Decoder.Configuration(a)
+	if err != nil {
+		return false
+	}
+	newer, err := c.Decoder.Configuration(b)
+	return err == nil && older.Version < newer.Version
+}
+
 func (c *Catalog) replace(change func(*View)) {
 	c.viewMu.Lock()
 	defer c.viewMu.Unlock()
--- a/internal/chivehillcatalog/catalog_test.go
+++ b/internal/chivehillcatalog/catalog_test.go
@@ -33,6 +33,23 @@
 
 func (versionDecoder) Host(r Record) (Host, error) { return Host{ID: chivehillid.HostID(r.Name)}, nil }
 
+// TestOlderVersionReplacesTheRecordOfANewerOne checks what peers get from this host.
+func TestOlderVersionReplacesTheRecordOfANewerOne(t *testing.T) {
+	c := New(Options{Decoder: versionDecoder{}, Log: zerolog.Nop()})
+	for _, u := range []Update{
+		{Full: true, FromStore: true, AsOf: 9, Records: []Record{{Name: "main", Revision: 9, Data: []byte("12")}}},
+		{Full: true, FromStore: true, AsOf: NewRevision(1, 6), Records: []Record{{Name: "main", Revision: NewRevision(1, 5), Data: []byte("8")}}},
+	} {
+		c.Apply(Configurations, u)
+	}
+	c.Settle(Configurations, 1)
+	qt.Check(t, c.View().Configuration.Version, qt.Equals, chivehillid.Version(12))
+	held, _ := c.Record(Configurations, "main")
+	qt.Check(t, string(held.Data), qt.Equals, "12")
+	c.Apply(Configurations, Update{FromStore: true, Since: NewRevision(1, 6), AsOf: NewRevision(1, 7), Records: []Record{{Name: "main", Revision: NewRevision(1, 7), Data: []byte("13")}}})
+	qt.Check(t, c.View().Configuration.Version, qt.Equals, chivehillid.Version(13))
+}
+
 func TestNewestDecodableConfigurationIsInForce(t *testing.T) {
 	tests := []struct {
 		about string
--- /dev/null
+++ b/internal/chivehillcatalog/copied_test.go
@@ -0,0 +1,63 @@
+package chivehillcatalog
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestCopyOfTheStoreUndoesNewerRecords(t *testing.T) {
+	era1 := func(number uint64) Revision { return NewRevision(1, number) }
+	// In era 0, a was changed at 8, b added at 9 and c removed at 10; the copy is of 7.
+	known := []Update{
+		{Full: true, FromStore: true, AsOf: 7, Records: []Record{{Name: "a", Revision: 5}, {Name: "c", Revision: 6}, {Name: "d", Revision: 7}}},
+		{FromStore: true, Since: 7, AsOf: 10, Records: []Record{{Name: "a", Revision: 8}, {Name: "b", Revision: 9}, {Name: "c", Revision: 10, Deleted: true}}},
+	}
+	copied := Update{Full: true, FromStore: true, AsOf: era1(7), Records: []Record{{Name: "a", Revision: era1(5)}, {Name: "c", Revision: era1(6)}, {Name: "d", Revision: era1(7)}}}
+	tests := []struct {
+		about   string
+		updates []Update
+		settled bool
+		want    map[string]Revision
+	}{
+		{"what is known holds at first", []Update{copied}, false, map[string]Revision{"a": 8, "b": 9, "d": era1(7)}},
+		{"what was not written again is given up, what was removed stays so", []Update{copied}, true, map[string]Revision{"a": era1(5), "d": era1(7)}},
+		{
+			"what is written again holds", []Update{copied, {
+				FromStore: true, Since: era1(7), AsOf: era1(9),
+				Records: []Record{{Name: "a", Revision: era1(8)}, {Name: "c", Revision: era1(9)}},
+			}}, true, map[string]Revision{"a": era1(8), "c": era1(9), "d": era1(7)},
+		},
+		{
+			"what is removed again is gone at once", []Update{copied, {
+				FromStore: true, Since: era1(7), AsOf: era1(8), Records: []Record{{Name: "d", Revision: era1(8), Deleted: true}},
+			}}, false, map[string]Revision{"a": 8, "b": 9},
+		},
+		{"a second list of the copy changes nothing", []Update{copied, copied}, false, map[string]Revision{"a": 8, "b": 9, "d": era1(7)}},
+		{"late answers of the earlier era change nothing", []Update{copied, known[0], known[1]}, false, map[string]Revision{"a": 8, "b": 9, "d": era1(7)}},
+		{"a peer has compared its records already", []Update{{Full: true, AsOf: era1(7), Records: []Record{{Name: "a", Revision: 8}}}}, false, map[string]Revision{"a": 8}},
+	}
+	for _, tt := range tests {
+		r := newRecords()
+		for _, u := range append(append([]Update{}, known...), tt.updates...) {
+			r.apply(time.Now(), u)
+		}
+		if tt.settled {
+			r.settle(time.Now(), 1)
+		}
+		got := make(map[string]Revision)
+		for name, e := range r.live {
+			got[name] = e.Revision
+		}
+		qt.Check(t, got, qt.DeepEquals, tt.want, qt.Commentf("%s", tt.about))
+		qt.Check(t, r.asOf.Era(), qt.Equals, Era(1), qt.Commentf("%s", tt.about))
+	}
+}
+
+func TestRevisionsOfALaterEraRankFirst(t *testing.T) {
+	qt.Assert(t, NewRevision(1, 3) > NewRevision(0, 900), qt.IsTrue)
+	qt.Assert(t, NewRevision(2, 3).Era(), qt.Equals, Era(2))
+	qt.Assert(t, NewRevision(2, 3).Number(), qt.Equals, uint64(3))
+	qt.Assert(t, NewRevision(0, 1<<60).Era(), qt.Equals, Era(0))
+}
--- a/internal/chivehillcatalog/records.go
+++ b/internal/chivehillcatalog/records.go
@@ -22,6 +22,10 @@
 	tombstones map[string]tombstone
 	// digest is the XOR of the digests of the live records.
 	digest Digest
+	// precedes reports whether a record is older than another one by its content, however
+	// their revisions compare. It is nil if only the revision tells.
+	precedes func(a, b Record) bool
+	copied   copied
 }
 
 // Digest is a hash of the names and revisions of a collection's records. Two
@@ -53,28 +57,34 @@
 // than the ones held change nothing.
 func (r *records) apply(now time.Time, u Update) []change {
 	r.expireTombstones(now)
+	if u.FromStore && u.Full {
+		r.copied.begin(u.AsOf)
+	}
 	var changes []change
 	present := make(map[string]bool, len(u.Records))
 	for _, e := range u.Records {
 		present[e.Name] = true
-		if e.Deleted {
-			changes = r.remove(now, changes, e.Name, max(e.Revision, u.AsOf))
+		if u.FromStore && r.holdsNewer(e) {
 			continue
 		}
-		if !r.isNewer(e) {
+		r.copied.forget(e.Name)
+		if e.Deleted {
+			changes = r.remove(now, changes, e.Name, max(e.Revision, u.AsOf))
 			continue
 		}
-		if old, found := r.live[e.Name]; found {
-			r.digest ^= old.digest()
+		if r.isNewer(e) {
+			changes = r.put(changes, e)
 		}
-		r.digest ^= e.digest()
-		r.live[e.Name] = e
-		delete(r.tombstones, e.Name)
-		changes = append(changes, change{record: e})
 	}
 	if u.Full {
 		for name, e := range r.live {
-			if !present[name] && e.Revision <= u.AsOf {
+			switch {
+			case present[name] || e.Revision > u.AsOf:
+			case u.FromStore && e.Revision.Era() < u.AsOf.Era():
+				if r.precedes == nil {
+					r.copied.missing[name] = true
+				}
+			default:
 				changes = r.remove(now, changes, name, u.AsOf)
 			}
 		}
@@ -86,10 +96,21 @@
 	return changes
 }
 
+// put stores a record in place of the one held.
+func (r *records) put(changes []change, e Record) []change {
+	if old, found := r.live[e.Name]; found {
+		r.digest ^= old.digest()
+	}
+	r.digest ^= e.digest()
+	r.live[e.Name] = e
+	delete(r.tombstones, e.Name)
+	return append(changes, change{record: e})
+}
+
 // isNewer reports whether a record is newer than the one held, or than its removal.
 func (r *records) isNewer(e Record) bool {
 	if old, found := r.live[e.Name]; found {
-		return e.Revision > old.Revision
+		return e.Revision > old.Revision && (r.precedes == nil || !r.precedes(e, old))
 	}
 	removal, found := r.tombstones[e.Name]
 	return !found || e.Revision > removal.revision
--- a/internal/chivehillcatalog/types.go
+++ b/internal/chivehillcatalog/types.go
@@ -10,9 +10,29 @@
 	"github.com/chivehill/chivehill/internal/chivehillregion"
 )
 
-// Revision is a revision of the store. It increases with each change of any object.
+// Era counts how often the store came back from an older copy of its content. The store
+// then gives out revisions again that it gave out after the copy was made.
+type Era uint64
+
+// Revision is a revision of the store together with its era, which ranks first. So each
+// state of the store has a higher revision than all states before it, also when the store
+// came back from a copy. The zero Revision precedes all others.
 type Revision uint64
 
+// numberBits is the number of low bits that hold the store's own number.
+const numberBits = 48
+
+// NewRevision returns the revision with the number that the store states in an era.
+func NewRevision(era Era, number uint64) Revision {
+	return Revision(era)<<numberBits | Revision(min(number, 1<<numberBits-1))
+}
+
+// Era returns the era of the revision.
+func (r Revision) Era() Era { return Era(r >> numberBits) }
+
+// Number returns the store's own number of the revision.
+func (r Revision) Number() uint64 { return uint64(r & (1<<numberBits - 1)) }
+
 // Collection is the name of a set of records of one kind.
 type Collection string
 
@@ -37,10 +57,6 @@
 	Deleted bool
 }
 
-// Era counts how often the store came back from an older copy of its content. Revisions
-// are given out again in each era.
-type Era uint64
-
 // Update is a full list of a collection or a batch of changes to it.
 type Update struct {
 	// Full is set if Records lists every object of the collection.
@@ -51,8 +67,9 @@
 	// AsOf is the revision up to which Records is complete.
 	AsOf    Revision
 	Records []Record
-	// Era is the store's era when it answered, 0 if it states none.
-	Era Era
+	// FromStore is set if the update is the store's own answer, which may be a copy that
+	// lacks what this host knows. What peers send they have compared with it already.
+	FromStore bool
 }
 
 // Target is a service that requests of a route are sent to.
--- a/internal/chivehillhost/registration.go
+++ b/internal/chivehillhost/registration.go
@@ -58,12 +58,17 @@
 	return h.register(ctx)
 }
 
-// registered reports whether the catalog holds the current entry of this host.
+// registered reports whether the catalog holds the current entry of this host, as far as
+// the store has it: an entry of an earlier era is one that the store has lost.
 func (h *Host) registered() bool {
 	e, found := h.catalog.View().Hosts[h.self.ID]
 	self := h.self
 	self.Incarnation = ""
-	return found && e == self
+	if !found || e != self {
+		return false
+	}
+	record, found := h.catalog.Record(chivehillcatalog.Hosts, string(h.self.ID))
+	return found && record.Revision.Era() >= h.catalog.AsOf(chivehillcatalog.Hosts).Era()
 }
 
 // register writes the entry of this host and reports whether that succeeded.
@@ -121,11 +126,15 @@
 }
 
 // removeDownHosts removes the entries of hosts that have been down for longer than
-// downHostRetention. Only a host that watches the store does so, for its own region.
+// downHostRetention, for its own region, and those of hosts that removed them before the
+// store came back from a copy. Only a host that watches the store does so.
 func (h *Host) removeDownHosts(ctx context.Context) {
 	if !h.relay.Watching() {
 		return
 	}
+	for _, e := range h.catalog.Returned(chivehillcatalog.Hosts) {
+		h.tasks.Go(func() { h.remove(ctx, chivehillid.HostID(e.Name), e.Revision) })
+	}
 	now := h.clock.Now()
 	hosts := h.catalog.View().Hosts
 	h.downMu.Lock()
@@ -142,15 +151,16 @@
 // removeEntry removes the entry of a host from the store, unless the entry has
 // changed since the revision in the catalog.
 func (h *Host) removeEntry(ctx context.Context, id chivehillid.HostID) {
+	if e, found := h.catalog.Record(chivehillcatalog.Hosts, string(id)); found {
+		h.remove(ctx, id, e.Revision)
+	}
+}
+
+func (h *Host) remove(ctx context.Context, id chivehillid.HostID, revision chivehillcatalog.Revision) {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	for _, e := range h.catalog.Snapshot(chivehillcatalog.Hosts).Records {
-		if e.Name != string(id) {
-			continue
-		}
-		err := h.platform.Store.RemoveHost(ctx, id, e.Revision)
-		h.log.Info().Str("entry", string(id)).Str("peer", "store").Err(err).Msg("host: attempted to remove a host entry.")
-	}
+	err := h.platform.Store.RemoveHost(ctx, id, revision)
+	h.log.Info().Str("entry", string(id)).Str("peer", "store").Err(err).Msg("host: attempted to remove a host entry.")
 }
 
 // live returns the hosts that callers may use.
--- a/internal/chivehillwatcher/watcher.go
+++ b/internal/chivehillwatcher/watcher.go
@@ -30,6 +30,9 @@
 	// coalesceDelay is the delay after changes of servers or hosts, so that further
 	// changes arrive together with one call.
 	coalesceDelay = 150 * time.Millisecond
+	// settleDelay is how long after a store came back from a copy its writers may take to
+	// write again what it has lost. What is missing then is gone.
+	settleDelay = 2500 * chivehillclock.Millisecond
 	// minBackoff and maxBackoff bound the delay before a failed call is retried.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 2 * time.Second
@@ -241,7 +244,13 @@
 
 func (w *Watcher) apply(c chivehillcatalog.Collection, u chivehillcatalog.Update) {
 	w.recordEra(c, u)
-	delta := w.Catalog.Apply(c, u)
+	w.publish(c, w.Catalog.Apply(c, u))
+	if era := u.AsOf.Era(); u.Full && w.Catalog.Unsettled(c) {
+		time.AfterFunc(settleDelay.Duration(), func() { w.publish(c, w.Catalog.Settle(c, era)) })
+	}
+}
+
+func (w *Watcher) publish(c chivehillcatalog.Collection, delta chivehillcatalog.Update) {
 	if w.OnUpdate != nil {
 		w.OnUpdate(c, delta)
 	}
@@ -251,12 +260,13 @@
 func (w *Watcher) recordEra(c chivehillcatalog.Collection, u chivehillcatalog.Update) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if u.Era <= w.era {
+	era := u.AsOf.Era()
+	if era <= w.era {
 		return
 	}
-	w.Log.Info().Str("collection", string(c)).Uint64("era", uint64(u.Era)).Uint64("as-of", uint64(u.AsOf)).
-		Uint64("held-as-of", uint64(w.Catalog.AsOf(c))).Msg("watcher: store is in a new era.")
-	w.era = u.Era
+	w.Log.Info().Str("collection", string(c)).Uint64("era", uint64(era)).Uint64("as-of", u.AsOf.Number()).
+		Uint64("held-as-of", w.Catalog.AsOf(c).Number()).Msg("watcher: store is in a new era.")
+	w.era = era
 }
 
 func (w *Watcher) countCall(operation string, err error) {
