fix: a host that has not listed the others has no share of a bounded rate

Cause: a host that starts is ready once it has a configuration, servers and withdrawals. Until the list of hosts has come it knows itself alone, and took the whole rate of each cold server and the whole limit of each limited one. After a kill of many hosts each of them does so at once.

Ruled out: holding back readiness for the list of hosts, since servers without a bounded rate need none.

Change: computeShare gives nothing until the collection of hosts has been listed.

Seen failing before: TestHostWithoutTheListOfHostsTakesTheWholeRate, share 1, want 0.

--- a/internal/chivehillhost/share.go
+++ b/internal/chivehillhost/share.go
@@ -47,8 +47,12 @@
 
 // computeShare chooses the hosts that divide a server's rate by rendezvous hashing: of
 // the live hosts of the server's failure domain, else of its region, else of all, those
-// with the highest hashes of both identifiers.
+// with the highest hashes of both identifiers. A host that has not listed the others yet
+// has no share.
 func (h *Host) computeShare(s chivehillcatalog.Server, live []chivehillcatalog.Host, sharers int) float64 {
+	if h.catalog.AsOf(chivehillcatalog.Hosts) == 0 {
+		return 0
+	}
 	nearest := h.nearest(s, live)
 	ahead, found := 0, false
 	own := shareHash(s.ID, h.self.ID)
--- a/internal/chivehillhost/share_test.go
+++ b/internal/chivehillhost/share_test.go
@@ -87,6 +87,19 @@
 	}
 }
 
+func TestHostWithoutTheListOfHostsTakesTheWholeRate(t *testing.T) {
+	h := New(chivehillwire.GatewaySettings{Host: "a", Region: "east", FailureDomain: "e1"}, Platform{Decoder: readyDecoder{}}, zerolog.Nop())
+	for _, c := range []chivehillcatalog.Collection{chivehillcatalog.Servers, chivehillcatalog.Withdrawals} {
+		h.catalog.Apply(c, chivehillcatalog.Update{Full: true, AsOf: 1})
+	}
+	h.catalog.Apply(chivehillcatalog.Configurations, chivehillcatalog.Update{Full: true, AsOf: 1, Records: []chivehillcatalog.Record{{Name: "main", Revision: 1}}})
+	s := chivehillcatalog.Server{ID: "i-1", Domain: "e1"}
+	qt.Assert(t, h.ready(), qt.IsTrue)
+	qt.Assert(t, h.share(s, 8), qt.Equals, 0.0)
+	h.catalog.Apply(chivehillcatalog.Hosts, chivehillcatalog.Update{Full: true, AsOf: 1})
+	qt.Assert(t, h.share(s, 8), qt.Equals, 1.0)
+}
+
 // sumOfShares returns the sum of the shares of a server's rate over all hosts that are up.
 func sumOfShares(hosts map[chivehillid.HostID]*Host, down []chivehillid.HostID, s chivehillcatalog.Server, sharers int) float64 {
 	sum := 0.0
