fix: a store without history is listed with growing pauses

Cause: after "history gone" the collection is listed and watched again at once. If the watch after the list gets the same answer, this repeats without a pause, whatever the reason of the store.

Ruled out: a pause after each lost history: the first list must come at once, or followers are late.

Change: a second lost history without a successful watch in between waits with the backoff of failed calls.

Seen failing before: TestStoreWithoutHistoryIsCalledWithoutAPause, "712648 calls in 1 s".

--- a/internal/chivehillwatcher/watcher.go
+++ b/internal/chivehillwatcher/watcher.go
@@ -161,16 +161,24 @@
 		retry.MaxInterval = maxConfigurationBackoff
 	}
 	list := true
+	// relisted is set from a list that replaced a history until a watch succeeds.
+	relisted := false
 	for ctx.Err() == nil {
 		err := w.listOrWatch(ctx, c, list)
 		switch {
 		case err == nil:
+			relisted = relisted && list
 			list = false
-			retry.Reset()
+			if !relisted {
+				retry.Reset()
+			}
 			continue
 		case errors.Is(err, ErrHistoryGone):
-			list = true
 			w.Log.Info().Str("collection", string(c)).Msg("watcher: watch history is no longer available; listing again.")
+			if relisted {
+				w.waitToRetry(ctx, retry.NextBackOff())
+			}
+			list, relisted = true, true
 			continue
 		case ctx.Err() != nil:
 			return
--- a/internal/chivehillwatcher/watcher_test.go
+++ b/internal/chivehillwatcher/watcher_test.go
@@ -70,3 +70,29 @@
 		qt.Check(t, unreachable, qt.Equals, tt.unreachable, qt.Commentf("%s", tt.about))
 	}
 }
+
+// forgetfulStore has no history for any watch.
+type forgetfulStore struct {
+	Store
+	calls atomic.Int64
+}
+
+func (s *forgetfulStore) List(context.Context, chivehillcatalog.Collection, func()) (chivehillcatalog.Update, error) {
+	s.calls.Add(1)
+	return chivehillcatalog.Update{Full: true, AsOf: 1}, nil
+}
+
+func (s *forgetfulStore) Watch(context.Context, chivehillcatalog.Collection, chivehillcatalog.Revision, chivehillclock.Millis) (chivehillcatalog.Update, error) {
+	s.calls.Add(1)
+	return chivehillcatalog.Update{}, ErrHistoryGone
+}
+
+func TestStoreWithoutHistoryIsCalledWithoutAPause(t *testing.T) {
+	store := &forgetfulStore{}
+	catalog := chivehillcatalog.New(chivehillcatalog.Options{Decoder: struct{ chivehillcatalog.Decoder }{}, Log: zerolog.Nop()})
+	w := &Watcher{Store: store, Catalog: catalog, Clock: chivehillclock.New(), Metrics: chivehillmetrics.NewGateway(), Log: zerolog.Nop()}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	w.follow(ctx, chivehillcatalog.Servers)
+	qt.Assert(t, store.calls.Load() < 30, qt.IsTrue, qt.Commentf("%d calls in 1 s", store.calls.Load()))
+}
