fix: bytes without end from a server cost a bounded amount of memory

A host that reads such bytes runs over its memory and is killed, with all requests that it has.

Cause: the head of a response was read without a limit, interim responses too. A body was limited to 64 MB each, which two or three servers at once take beyond a host's memory; and after its limit the rest of the body was still read until the deadline, because closing the body reads it.

Ruled out: a lower limit for each body, which large answers would meet; counting a body until the caller has it, which needs its release on each way out (left: a body that was read whole is not counted).

Change: a head with its interim responses may have 64 KB. All bodies that are being read share an eighth of the memory, beyond the first 64 KB of each, so that usual responses pass meanwhile; a body for which there is none makes the response invalid. After an error the connection is closed without reading on.

Seen failing before (the test on the code before, with a deadline of 2 s): 103 MB of a status line, 207 MB of a header line, 61 MB of header lines, 188 MB of a body of chunks, 71 MB of a body that ends with its connection were read. The cases chunk extension, trailer and interim responses passed before.

Measured: tests of chivehillupstream, chivehillgateway and chivehillhost pass.

--- a/internal/chivehillgateway/pools.go
+++ b/internal/chivehillgateway/pools.go
@@ -11,6 +11,7 @@
 // Pools holds a connection pool for each server. It is safe for concurrent use.
 type Pools struct {
 	parser chivehillupstream.HeaderParser
+	memory *chivehillupstream.Memory
 
 	mu    sync.Mutex
 	pools map[chivehillid.ServerID]*serverPool
@@ -21,9 +22,10 @@
 	pool    *chivehillupstream.Pool
 }
 
-// NewPools returns a Pools without connections.
-func NewPools(parser chivehillupstream.HeaderParser) *Pools {
-	return &Pools{parser: parser, pools: make(map[chivehillid.ServerID]*serverPool)}
+// NewPools returns a Pools without connections. maxBodyMemory limits the response bodies
+// that are being read, in bytes.
+func NewPools(parser chivehillupstream.HeaderParser, maxBodyMemory int64) *Pools {
+	return &Pools{parser: parser, memory: chivehillupstream.NewMemory(maxBodyMemory), pools: make(map[chivehillid.ServerID]*serverPool)}
 }
 
 // Get returns the connection pool of a server. If the address of the server has
@@ -36,7 +38,7 @@
 		if p != nil {
 			p.pool.Close()
 		}
-		p = &serverPool{address: server.Address, pool: chivehillupstream.NewPool(server.Address, s.parser)}
+		p = &serverPool{address: server.Address, pool: chivehillupstream.NewPool(server.Address, s.parser, s.memory)}
 		s.pools[server.ID] = p
 	}
 	return p.pool
--- a/internal/chivehillgateway/refusals_test.go
+++ b/internal/chivehillgateway/refusals_test.go
@@ -191,7 +191,7 @@
 	table := chivehillselector.NewTable(location, clock, share, zerolog.Nop())
 	table.Sync(catalog.View)
 	return New(Options{
-		Catalog: testCatalogSource{catalog: catalog, confirmed: !s.unconfirmed}, Table: table, Pools: NewPools(testHeaderCodec{}),
+		Catalog: testCatalogSource{catalog: catalog, confirmed: !s.unconfirmed}, Table: table, Pools: NewPools(testHeaderCodec{}, 1<<20),
 		Budget: NewRetryBudget(1, 100, 1), Suspects: chivehillsuspect.New(), Self: "self", OnKill: func(chivehillid.Fingerprint, int) {},
 		Headers: testHeaderCodec{}, Clock: clock, Metrics: chivehillmetrics.NewGateway(), Log: zerolog.Nop(),
 	})
--- a/internal/chivehillgateway/suspect.go
+++ b/internal/chivehillgateway/suspect.go
@@ -42,7 +42,7 @@
 	time.Sleep(crashCheckDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout.Duration())
 	defer cancel()
-	pool := chivehillupstream.NewPool(server.Address, g.Headers)
+	pool := chivehillupstream.NewPool(server.Address, g.Headers, nil)
 	defer pool.Close()
 	lease, err := pool.Take(ctx, dialTimeout)
 	if err == nil {
--- a/internal/chivehillhost/host.go
+++ b/internal/chivehillhost/host.go
@@ -53,6 +53,9 @@
 	resolveTTL = 2 * chivehillclock.Second
 	// maxBufferedShare is the share of the memory that buffered request bodies may use.
 	maxBufferedShare = 0.25
+	// maxResponseShare is the share of the memory that response bodies may use while they
+	// are read. They take it twice while they are put together.
+	maxResponseShare = 0.125
 	bytesPerMB       = 1 << 20
 	// httpTimeout bounds reading a request to the directory, readiness and metrics
 	// servers, and the header of one to the peer server.
@@ -119,7 +122,7 @@
 		SetWatch: h.setWatching, DownChanged: h.onDownChange,
 	})
 	h.watcher.OnUpdate = h.relay.Publish
-	h.pools = chivehillgateway.NewPools(p.Headers)
+	h.pools = chivehillgateway.NewPools(p.Headers, int64(s.MemoryMb*bytesPerMB*maxResponseShare))
 	h.budget = chivehillgateway.NewRetryBudget(s.Bounds.RetryRatio, s.Bounds.RetrySlack, 1)
 	gateway := chivehillgateway.New(chivehillgateway.Options{
 		Suspects: h.suspects, Self: s.Host, OnKill: h.relay.ReportSuspect,
--- a/internal/chivehillupstream/conn.go
+++ b/internal/chivehillupstream/conn.go
@@ -19,8 +19,6 @@
 	// maxStaleResponses is how many responses are read for one request before it fails
 	// because all of them belong to earlier requests.
 	maxStaleResponses = 3
-	// maxResponseBytes limits the response body, which is held in memory.
-	maxResponseBytes = 64 << 20
 	// idleTimeoutMargin is how long before the server's idle timeout an idle connection is
 	// no longer used.
 	idleTimeoutMargin = time.Second
@@ -41,13 +39,21 @@
 type conn struct {
 	net.Conn
 	reader     *bufio.Reader
+	bound      *headBound
+	memory     *Memory
 	lastUsedAt time.Time
 	// idleTimeout is how long the server keeps the connection open while it is idle.
 	idleTimeout time.Duration
 }
 
+func newConn(c net.Conn, memory *Memory) *conn {
+	bound := &headBound{Reader: c}
+	bound.endHead()
+	return &conn{Conn: c, reader: bufio.NewReader(bound), bound: bound, memory: memory, idleTimeout: defaultIdleTimeout}
+}
+
 // dial opens a connection. Its errors wrap ErrNotSent.
-func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+func dial(ctx context.Context, address string, timeout time.Duration, memory *Memory) (*conn, error) {
 	dialer := net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
@@ -55,7 +61,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w: %w", address, ErrNotSent, err)
 	}
-	return &conn{Conn: c, reader: bufio.NewReader(c), idleTimeout: defaultIdleTimeout}, nil
+	return newConn(c, memory), nil
 }
 
 // usable reports whether an idle connection can carry a request: it is not about to
@@ -187,6 +193,8 @@
 // readNext reads the next final response. It skips interim ones, such as 100 Continue.
 func (c *conn) readNext(r *Request, parser HeaderParser) (Response, bool, error) {
 	request := &http.Request{Method: r.Method}
+	c.bound.startHead()
+	defer c.bound.endHead()
 	for {
 		resp, err := http.ReadResponse(c.reader, request)
 		if err != nil {
@@ -198,30 +206,19 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		body, err := readBody(resp.Body)
-		_ = resp.Body.Close()
+		c.bound.endHead()
+		body, err := readBody(resp.Body, c.memory)
 		if err != nil {
+			// Closing the body would read the rest of it first.
 			return Response{}, false, err
 		}
+		_ = resp.Body.Close()
 		response := Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Metadata: parser.ParseResponse(resp.StatusCode, resp.Header)}
 		c.idleTimeout = parseIdleTimeout(resp.Header)
 		return response, !resp.Close && resp.ProtoAtLeast(1, 1) && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0), nil
 	}
 }
 
-// readBody reads the body of a response. A body above maxResponseBytes makes the
-// response invalid, since it could only be forwarded in part.
-func readBody(r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, maxResponseBytes+1))
-	if err != nil {
-		return nil, fmt.Errorf("read response body: %w", err)
-	}
-	if len(body) > maxResponseBytes {
-		return nil, fmt.Errorf("%w: body exceeds %d bytes", ErrInvalidResponse, maxResponseBytes)
-	}
-	return body, nil
-}
-
 // isConnectionError reports whether reading failed because of the connection, not
 // because of the bytes that it carried.
 func isConnectionError(err error) bool {
--- a/internal/chivehillupstream/conn_test.go
+++ b/internal/chivehillupstream/conn_test.go
@@ -49,7 +49,7 @@
 			}()
 		}
 	}()
-	return NewPool(l.Addr().String(), idParser{})
+	return NewPool(l.Addr().String(), idParser{}, NewMemory(2*maxResponseBytes))
 }
 
 func completeResponse(id, body string) string {
@@ -135,7 +135,7 @@
 	_, usable, err := lease.Do(ctx, request("a"))
 	qt.Assert(t, errors.Is(err, ErrTimeout), qt.IsTrue)
 	qt.Assert(t, usable, qt.IsFalse)
-	_, err = NewPool("127.0.0.1:1", idParser{}).Take(t.Context(), 100)
+	_, err = NewPool("127.0.0.1:1", idParser{}, nil).Take(t.Context(), 100)
 	qt.Assert(t, errors.Is(err, ErrNotSent), qt.IsTrue)
 }
 
@@ -155,7 +155,7 @@
 		time.Sleep(200 * time.Millisecond)
 		_ = c.Close()
 	}()
-	pool := NewPool(l.Addr().String(), idParser{})
+	pool := NewPool(l.Addr().String(), idParser{}, NewMemory(2*maxResponseBytes))
 	lease, err := pool.Take(t.Context(), 1000)
 	qt.Assert(t, err, qt.IsNil)
 	r := request("a")
@@ -192,7 +192,7 @@
 			_, _ = server.Write(data)
 			_ = server.Close()
 		}()
-		c := &conn{Conn: client, reader: bufio.NewReader(client)}
+		c := newConn(client, NewMemory(maxResponseBytes))
 		response, _, err := c.readResponse(request("a"), idParser{})
 		if err == nil && response.Succeeded() && response.Metadata.RequestID != "a" {
 			t.Fatalf("returned the response to request %q, want one to request a", response.Metadata.RequestID)
--- a/internal/chivehillupstream/pool.go
+++ b/internal/chivehillupstream/pool.go
@@ -17,6 +17,8 @@
 type Pool struct {
 	address string
 	parser  HeaderParser
+	// memory limits the response bodies of this pool and others.
+	memory *Memory
 
 	mu sync.Mutex
 	// idle is ordered by time of last use. The most recently used one is taken first.
@@ -25,9 +27,9 @@
 	dialed atomic.Uint64
 }
 
-// NewPool returns an empty pool of connections to address.
-func NewPool(address string, parser HeaderParser) *Pool {
-	return &Pool{address: address, parser: parser}
+// NewPool returns an empty pool of connections to address. Pools share memory.
+func NewPool(address string, parser HeaderParser, memory *Memory) *Pool {
+	return &Pool{address: address, parser: parser, memory: memory}
 }
 
 // Lease is the exclusive use of a connection. It must be ended with Release or Drop.
@@ -41,7 +43,7 @@
 	if c := p.takeIdle(); c != nil {
 		return &Lease{pool: p, conn: c}, nil
 	}
-	c, err := dial(ctx, p.address, timeout.Duration())
+	c, err := dial(ctx, p.address, timeout.Duration(), p.memory)
 	if err != nil {
 		return nil, err
 	}
