fix: a peer's older record does not keep what the store has lost

Cause: any update that named a record ended the note that the store's copy lacks it, also an older one of a peer that still holds it.

Ruled out: taking no records of earlier eras from peers; a host that starts in these seconds needs them.

Change: the note ends when a change of the record takes effect, or when the store reports its removal. settle clears its maps instead of dropping them, since a later event may still be noted.

Seen failing before: TestCopyOfTheStoreUndoesNewerRecords, row "a peer that still holds what the copy lacks does not keep it".

--- a/internal/chivehillcatalog/copied.go
+++ b/internal/chivehillcatalog/copied.go
@@ -67,6 +67,7 @@
 	for name := range r.copied.missing {
 		changes = r.remove(now, changes, name, r.asOf)
 	}
-	r.copied.older, r.copied.missing = nil, nil
+	clear(r.copied.older)
+	clear(r.copied.missing)
 	return changes
 }
--- a/internal/chivehillcatalog/copied_test.go
+++ b/internal/chivehillcatalog/copied_test.go
@@ -34,6 +34,16 @@
 				FromStore: true, Since: era1(7), AsOf: era1(8), Records: []Record{{Name: "d", Revision: era1(8), Deleted: true}},
 			}}, false, map[string]Revision{"a": 8, "b": 9},
 		},
+		{
+			"a peer that still holds what the copy lacks does not keep it", []Update{copied, {
+				Full: true, AsOf: era1(7), Records: []Record{{Name: "a", Revision: 8}, {Name: "b", Revision: 9}, {Name: "d", Revision: era1(7)}},
+			}}, true, map[string]Revision{"a": era1(5), "d": era1(7)},
+		},
+		{
+			"an event as old as the copy after it was settled", []Update{copied, {
+				FromStore: true, Since: era1(7), AsOf: era1(8), Records: []Record{{Name: "c", Revision: era1(6)}},
+			}}, true, map[string]Revision{"a": era1(5), "d": era1(7)},
+		},
 		{"a second list of the copy changes nothing", []Update{copied, copied}, false, map[string]Revision{"a": 8, "b": 9, "d": era1(7)}},
 		{"late answers of the earlier era change nothing", []Update{copied, known[0], known[1]}, false, map[string]Revision{"a": 8, "b": 9, "d": era1(7)}},
 		{"a peer has compared its records already", []Update{{Full: true, AsOf: era1(7), Records: []Record{{Name: "a", Revision: 8}}}}, false, map[string]Revision{"a": 8}},
--- a/internal/chivehillcatalog/records.go
+++ b/internal/chivehillcatalog/records.go
@@ -67,8 +67,10 @@
 		if u.FromStore && r.holdsNewer(e) {
 			continue
 		}
-		r.copied.forget(e.Name)
 		if e.Deleted {
+			if u.FromStore {
+				r.copied.forget(e.Name)
+			}
 			changes = r.remove(now, changes, e.Name, max(e.Revision, u.AsOf))
 			continue
 		}
@@ -104,6 +106,7 @@
 	r.digest ^= e.digest()
 	r.live[e.Name] = e
 	delete(r.tombstones, e.Name)
+	r.copied.forget(e.Name)
 	return append(changes, change{record: e})
 }
 
@@ -123,6 +126,7 @@
 		return changes
 	}
 	delete(r.live, name)
+	r.copied.forget(name)
 	r.digest ^= old.digest()
 	r.tombstones[name] = tombstone{revision: revision, removedAt: now}
 	return append(changes, change{record: old, removed: true})
