fix: a stopping relay takes no connection while it waits for its tasks

A stopping host could end before a connection's task, or panic on the reuse of its wait group.

Cause: Relay.ServeHTTP starts a task for each accepted connection. Run waits for the tasks when the host stops, while the peer server still accepts: a task added during the wait is a misuse of the wait group.

Evidence: the race report names ServeHTTP (link.go:270, tasks.Go) against Run (relay.go:118, tasks.Wait).

Change: start adds a task only under the lock and before stopAccepting; afterwards the connection is closed. The other tasks are started by Run's own loop or by a running task, where the count is above zero.

The new test needs the function that the fix brings, so it did not fail by itself before.

Measured: tests of chivehillrelay with the race detector pass.

--- a/internal/chivehillrelay/link.go
+++ b/internal/chivehillrelay/link.go
@@ -267,7 +267,9 @@
 		r.Log.Info().Str("step", "accept").Err(err).Msg("relay: failed to accept a connection from a peer.")
 		return
 	}
-	r.tasks.Go(func() { r.handleAccepted(conn) })
+	if !r.start(func() { r.handleAccepted(conn) }) {
+		_ = conn.CloseNow()
+	}
 }
 
 func (r *Relay) handleAccepted(conn *websocket.Conn) {
--- a/internal/chivehillrelay/link_test.go
+++ b/internal/chivehillrelay/link_test.go
@@ -1,6 +1,7 @@
 package chivehillrelay
 
 import (
+	"context"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -190,3 +191,11 @@
 		Decide(r.collectState())
 	})
 }
+
+func TestTaskStartsWhileTheStoppedRelayWaitsForItsTasks(t *testing.T) {
+	r := newTestRelay()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	r.Run(ctx)
+	qt.Assert(t, r.start(func() { t.Error("task started") }), qt.IsFalse)
+}
--- a/internal/chivehillrelay/relay.go
+++ b/internal/chivehillrelay/relay.go
@@ -71,11 +71,13 @@
 	requestedAt map[chivehillcatalog.Collection]chivehillclock.Millis
 	decision    Decision
 	// watching is whether this host has to watch the store, as last passed to SetWatch.
-	watching                 bool
-	storeUnreachable         bool
-	leaderSince              chivehillclock.Millis
-	lastFollowedAt           chivehillclock.Millis
-	leaving                  bool
+	watching         bool
+	storeUnreachable bool
+	leaderSince      chivehillclock.Millis
+	lastFollowedAt   chivehillclock.Millis
+	leaving          bool
+	// stopped is set before Run waits for the tasks. No task starts from outside after it.
+	stopped                  bool
 	lastHeartbeat            chivehillclock.Millis
 	lastCrossRegionHeartbeat chivehillclock.Millis
 }
@@ -115,6 +117,7 @@
 		select {
 		case <-ctx.Done():
 			r.cancel()
+			r.stopAccepting()
 			r.tasks.Wait()
 			return
 		case <-t.C:
@@ -122,6 +125,22 @@
 	}
 }
 
+func (r *Relay) stopAccepting() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopped = true
+}
+
+// start runs a task for an accepted connection, and reports whether the relay still does so.
+func (r *Relay) start(task func()) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.stopped {
+		r.tasks.Go(task)
+	}
+	return !r.stopped
+}
+
 // Leave reports to all peers that this host is leaving.
 func (r *Relay) Leave() {
 	r.mu.Lock()
