fix: a peer's copied record does not undo what a host knows

What callers saw: after the store came back from a copy, the directory named a host that had left. Likewise a server that drains could be used again.

Cause: only the store's own answers were compared with what the store may have lost. A host that had missed the removal took the copied entry from its list as new, and its update to peers outranked their removal by era.

Ruled out: an expired removal (it was 2.5 s old); the host itself writing its entry again (it had stopped).

Change: an update states the lowest revision known of a first list of its era (era-start), which bounds the copy, and whether its sender has waited (settled); all updates are compared alike. The catalog tells when a wait begins, so that each host settles by itself, also after its own lists of hosts.

Why it works: a copied record is at or before the start of its era, whoever sends it; one written after it is beyond.

--- a/internal/chivehillcatalog/catalog.go
+++ b/internal/chivehillcatalog/catalog.go
@@ -30,6 +30,10 @@
 	Log     zerolog.Logger
 	// OnChange is called after each update that changed a collection, without locks held.
 	OnChange func(Collection)
+	// OnCopied is called, without locks held, when the store came back from a copy in an era
+	// and a collection holds records that the copy lacks. Settle is to be called once their
+	// writers had time to write them again.
+	OnCopied func(Collection, Era)
 }
 
 // Catalog caches all collections. It is safe for concurrent use; each collection
@@ -144,22 +148,13 @@
 
 // Apply merges an update into a collection and returns the changes that took effect.
 func (c *Catalog) Apply(name Collection, u Update) Update {
-	return c.change(name, func(r *records) []change { return r.apply(time.Now(), u) })
-}
-
-// Unsettled reports whether the store came back from a copy and the collection still
-// holds records that the copy lacks. Settle ends that.
-func (c *Catalog) Unsettled(name Collection) bool {
-	s := c.collections[name]
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.records.copied.older)+len(s.records.copied.missing) > 0
+	return c.change(name, u.Settled, func(r *records) []change { return r.apply(time.Now(), u) })
 }
 
 // Settle gives up the records that the store lacks since it came back from a copy in the
 // given era, and returns the changes.
 func (c *Catalog) Settle(name Collection, era Era) Update {
-	return c.change(name, func(r *records) []change { return r.settle(time.Now(), era) })
+	return c.change(name, true, func(r *records) []change { return r.settle(time.Now(), era) })
 }
 
 // Returned returns the records that were removed before the store came back from a copy,
@@ -172,12 +167,13 @@
 }
 
 // change changes the records of a collection and returns the changes that took effect.
-func (c *Catalog) change(name Collection, apply func(*records) []change) Update {
+func (c *Catalog) change(name Collection, settled bool, apply func(*records) []change) Update {
 	s := c.collections[name]
 	s.mu.Lock()
 	wasSynced, previousAsOf := s.records.synced, s.records.asOf
 	changes := apply(s.records)
-	delta := Update{Since: previousAsOf, AsOf: s.records.asOf}
+	copiedEra := s.records.copied.beginWaiting()
+	delta := Update{Since: previousAsOf, AsOf: s.records.asOf, EraStart: s.records.copied.start, Settled: settled}
 	for _, e := range changes {
 		record := e.record
 		record.Deleted = e.removed
@@ -192,6 +188,9 @@
 	if changed && c.OnChange != nil {
 		c.OnChange(name)
 	}
+	if copiedEra != 0 && c.OnCopied != nil {
+		c.OnCopied(name, copiedEra)
+	}
 	return delta
 }
 
--- a/internal/chivehillcatalog/copied_test.go
+++ b/internal/chivehillcatalog/copied_test.go
@@ -46,7 +46,43 @@
 		},
 		{"a second list of the copy changes nothing", []Update{copied, copied}, false, map[string]Revision{"a": 8, "b": 9, "d": era1(7)}},
 		{"late answers of the earlier era change nothing", []Update{copied, known[0], known[1]}, false, map[string]Revision{"a": 8, "b": 9, "d": era1(7)}},
-		{"a peer has compared its records already", []Update{{Full: true, AsOf: era1(7), Records: []Record{{Name: "a", Revision: 8}}}}, false, map[string]Revision{"a": 8}},
+		{
+			"a peer that had missed the changes sends the copy", []Update{{
+				EraStart: era1(7), Since: 10, AsOf: era1(7),
+				Records: []Record{{Name: "a", Revision: era1(5)}, {Name: "c", Revision: era1(6)}, {Name: "d", Revision: era1(7)}},
+			}}, false, map[string]Revision{"a": 8, "b": 9, "d": era1(7)},
+		},
+		{
+			"a peer that had missed the changes sends a list of the copy", []Update{{
+				Full: true, EraStart: era1(7), AsOf: era1(7),
+				Records: []Record{{Name: "a", Revision: era1(5)}, {Name: "c", Revision: era1(6)}, {Name: "d", Revision: era1(7)}},
+			}}, false, map[string]Revision{"a": 8, "b": 9, "d": era1(7)},
+		},
+		{
+			"what a peer's list of the copy lacks is given up if it is not written again", []Update{{
+				Full: true, EraStart: era1(7), AsOf: era1(7),
+				Records: []Record{{Name: "a", Revision: era1(5)}, {Name: "c", Revision: era1(6)}, {Name: "d", Revision: era1(7)}},
+			}}, true, map[string]Revision{"a": era1(5), "d": era1(7)},
+		},
+		{
+			"a peer that has waited need not be waited for, but undoes no removal", []Update{{
+				EraStart: era1(7), Settled: true, Since: 10, AsOf: era1(7),
+				Records: []Record{{Name: "a", Revision: era1(5)}, {Name: "b", Revision: 9, Deleted: true}, {Name: "c", Revision: era1(6)}},
+			}}, false, map[string]Revision{"a": era1(5), "d": 7},
+		},
+		{
+			"what a peer knows to be written after the copy holds at once", []Update{{
+				EraStart: era1(7), Since: 10, AsOf: era1(9),
+				Records: []Record{{Name: "a", Revision: era1(8)}, {Name: "c", Revision: era1(9)}},
+			}}, false, map[string]Revision{"a": era1(8), "b": 9, "c": era1(9), "d": 7},
+		},
+		{
+			"the lowest start of an era holds", []Update{
+				{Full: true, FromStore: true, AsOf: era1(12), Records: []Record{{Name: "a", Revision: era1(8)}, {Name: "d", Revision: era1(7)}}},
+				{EraStart: era1(7), AsOf: era1(12), Since: era1(12), Records: []Record{{Name: "a", Revision: era1(8)}}},
+			}, false, map[string]Revision{"a": era1(8), "b": 9, "d": era1(7)},
+		},
+		{"a peer that does not know where the era began has compared its records already", []Update{{Full: true, AsOf: era1(7), Records: []Record{{Name: "a", Revision: 8}}}}, false, map[string]Revision{"a": 8}},
 	}
 	for _, tt := range tests {
 		r := newRecords()
--- a/internal/chivehillcatalog/records.go
+++ b/internal/chivehillcatalog/records.go
@@ -57,21 +57,18 @@
 // than the ones held change nothing.
 func (r *records) apply(now time.Time, u Update) []change {
 	r.expireTombstones(now)
-	if u.FromStore && u.Full {
-		r.copied.begin(u.AsOf)
-	}
+	r.copied.prepare(u)
 	var changes []change
 	present := make(map[string]bool, len(u.Records))
 	for _, e := range u.Records {
 		present[e.Name] = true
-		if u.FromStore && r.holdsNewer(e) {
+		if r.holdsNewer(e, u.Settled) {
 			continue
 		}
 		if e.Deleted {
-			if u.FromStore {
-				r.copied.forget(e.Name)
-			}
-			changes = r.remove(now, changes, e.Name, max(e.Revision, u.AsOf))
+			revision := max(e.Revision, u.AsOf)
+			r.copied.forgetRemoved(e.Name, revision)
+			changes = r.remove(now, changes, e.Name, revision)
 			continue
 		}
 		if r.isNewer(e) {
@@ -82,7 +79,7 @@
 		for name, e := range r.live {
 			switch {
 			case present[name] || e.Revision > u.AsOf:
-			case u.FromStore && e.Revision.Era() < u.AsOf.Era():
+			case !u.Settled && r.isCopied(u.AsOf) && e.Revision.Era() < u.AsOf.Era():
 				if r.precedes == nil {
 					r.copied.missing[name] = true
 				}
@@ -98,6 +95,10 @@
 	return changes
 }
 
+// isCopied reports whether a list as of a revision may be of the copy that the newest era
+// began with.
+func (r *records) isCopied(asOf Revision) bool { return asOf.Era() == r.copied.start.Era() }
+
 // put stores a record in place of the one held.
 func (r *records) put(changes []change, e Record) []change {
 	if old, found := r.live[e.Name]; found {
@@ -143,7 +144,7 @@
 
 // snapshot returns the live records as a full update.
 func (r *records) snapshot() Update {
-	u := Update{Full: true, AsOf: r.asOf}
+	u := Update{Full: true, AsOf: r.asOf, EraStart: r.copied.start, Settled: r.copied.settled == r.copied.start.Era()}
 	for _, e := range r.live {
 		u.Records = append(u.Records, e)
 	}
--- a/internal/chivehillcatalog/types.go
+++ b/internal/chivehillcatalog/types.go
@@ -67,9 +67,15 @@
 	// AsOf is the revision up to which Records is complete.
 	AsOf    Revision
 	Records []Record
-	// FromStore is set if the update is the store's own answer, which may be a copy that
-	// lacks what this host knows. What peers send they have compared with it already.
+	// FromStore is set if the update is the store's own answer.
 	FromStore bool
+	// EraStart is the lowest revision of a first list of the store's newest era that the
+	// sender knows of, 0 if it knows of none. Records up to it may stem from a copy that is
+	// older than what the receiver knows.
+	EraStart Revision
+	// Settled is set if the sender has waited for the writers of what the store had lost, so
+	// that the receiver need not wait again.
+	Settled bool
 }
 
 // Target is a service that requests of a route are sent to.
--- a/internal/chivehillhost/host.go
+++ b/internal/chivehillhost/host.go
@@ -57,6 +57,9 @@
 	// are read. They take it twice while they are put together.
 	maxResponseShare = 0.125
 	bytesPerMB       = 1 << 20
+	// settleDelay is how long after the store came back from a copy its writers may take to
+	// write again what it has lost. What is missing then is gone.
+	settleDelay = 2500 * chivehillclock.Millisecond
 	// httpTimeout bounds reading a request to the directory, readiness and metrics
 	// servers, and the header of one to the peer server.
 	httpTimeout = 5 * time.Second
@@ -113,7 +116,7 @@
 	h.bounds.Store(&s.Bounds)
 	location := chivehillselector.Location{Domain: s.FailureDomain, Region: s.Region, Regions: s.Domains}
 	h.table = chivehillselector.NewTable(location, h.clock, h.share, log)
-	h.catalog = chivehillcatalog.New(chivehillcatalog.Options{Decoder: p.Decoder, Log: log, OnChange: h.onCatalogChange})
+	h.catalog = chivehillcatalog.New(chivehillcatalog.Options{Decoder: p.Decoder, Log: log, OnChange: h.onCatalogChange, OnCopied: h.onCopied})
 	h.watchCtx, h.cancelWatch = context.WithCancel(context.Background())
 	h.watcher = &chivehillwatcher.Watcher{Store: p.Store, Catalog: h.catalog, Clock: h.clock, Metrics: h.metrics, Log: log}
 	h.suspects = chivehillsuspect.New()
@@ -232,6 +235,11 @@
 	}
 }
 
+// onCopied gives up what the store has lost, unless its writers write it again in time.
+func (h *Host) onCopied(c chivehillcatalog.Collection, era chivehillcatalog.Era) {
+	time.AfterFunc(settleDelay.Duration(), func() { h.relay.Publish(c, h.catalog.Settle(c, era)) })
+}
+
 // nonEmpty returns the addresses that are not empty.
 func nonEmpty(addresses []string) []string {
 	return slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return a == "" })
--- a/internal/chivehillrelay/update.go
+++ b/internal/chivehillrelay/update.go
@@ -46,7 +46,7 @@
 }
 
 func encodeUpdate(c chivehillcatalog.Collection, u chivehillcatalog.Update) chivehillwire.RelayUpdate {
-	encoded := chivehillwire.RelayUpdate{Collection: c, Full: u.Full, Since: u.Since, AsOf: u.AsOf}
+	encoded := chivehillwire.RelayUpdate{Collection: c, Full: u.Full, Since: u.Since, AsOf: u.AsOf, EraStart: u.EraStart, Settled: u.Settled}
 	for _, record := range u.Records {
 		encoded.Records = append(encoded.Records, chivehillwire.RelayRecord{
 			Name: record.Name, Revision: record.Revision, Data: record.Data, Deleted: record.Deleted,
@@ -56,7 +56,7 @@
 }
 
 func decodeUpdate(u chivehillwire.RelayUpdate) chivehillcatalog.Update {
-	decoded := chivehillcatalog.Update{Full: u.Full, Since: u.Since, AsOf: u.AsOf}
+	decoded := chivehillcatalog.Update{Full: u.Full, Since: u.Since, AsOf: u.AsOf, EraStart: u.EraStart, Settled: u.Settled}
 	for _, record := range u.Records {
 		decoded.Records = append(decoded.Records, chivehillcatalog.Record{Name: record.Name, Revision: record.Revision, Data: record.Data, Deleted: record.Deleted})
 	}
--- a/internal/chivehillwatcher/watcher.go
+++ b/internal/chivehillwatcher/watcher.go
@@ -30,9 +30,6 @@
 	// coalesceDelay is the delay after changes of servers or hosts, so that further
 	// changes arrive together with one call.
 	coalesceDelay = 150 * time.Millisecond
-	// settleDelay is how long after a store came back from a copy its writers may take to
-	// write again what it has lost. What is missing then is gone.
-	settleDelay = 2500 * chivehillclock.Millisecond
 	// minBackoff and maxBackoff bound the delay before a failed call is retried.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 2 * time.Second
@@ -252,13 +249,7 @@
 
 func (w *Watcher) apply(c chivehillcatalog.Collection, u chivehillcatalog.Update) {
 	w.recordEra(c, u)
-	w.publish(c, w.Catalog.Apply(c, u))
-	if era := u.AsOf.Era(); u.Full && w.Catalog.Unsettled(c) {
-		time.AfterFunc(settleDelay.Duration(), func() { w.publish(c, w.Catalog.Settle(c, era)) })
-	}
-}
-
-func (w *Watcher) publish(c chivehillcatalog.Collection, delta chivehillcatalog.Update) {
+	delta := w.Catalog.Apply(c, u)
 	if w.OnUpdate != nil {
 		w.OnUpdate(c, delta)
 	}
--- a/internal/chivehillwire/relay.go
+++ b/internal/chivehillwire/relay.go
@@ -136,12 +136,19 @@
 	// Which collection.
 	Collection chivehillcatalog.Collection `json:"collection"`
 
+	// Lowest revision of a first list of the store's newest era that the sender knows
+	// of; 0 if it knows of none.
+	EraStart chivehillcatalog.Revision `json:"era-start,omitempty"`
+
 	// The records are all of the collection.
 	Full bool `json:"full"`
 
 	// Records that changed.
 	Records []RelayRecord `json:"records,omitempty"`
 
+	// The sender has waited for the writers of what the store had lost.
+	Settled bool `json:"settled,omitempty"`
+
 	// Revision after which the records are all changes, unless full.
 	Since chivehillcatalog.Revision `json:"since"`
 }
