fix: a server that says that it leaves gets no further requests

What callers saw: requests sent to a server that had said in its responses that it leaves, and that may end before it has answered them.

Cause: the header Server-Leaving was not read; only the store's entry counted, which may be late, silent or older.

Ruled out: Connection: close as the sign; it appears in other responses too.

Change: the selector keeps a notice for each instance of a server (its ID and start), which outlives the entry and holds against the store. It is checked at the choice, before a probe and at the claim, so that queued requests and retries obey it too. The first host that hears it tells its peers, who pass it on. Only a new start ends it; ten minutes after the server was last listed it is forgotten.

Why it works: every path that sends passes Claim or MayProbe, and the notice is taken from every response, refusals and health checks included, before the attempt ends.

--- a/internal/chivehillcatalog/types.go
+++ b/internal/chivehillcatalog/types.go
@@ -153,6 +153,16 @@
 	Started int64
 }
 
+// Instance identifies one run of a server. A server that starts again under its ID is
+// another instance.
+type Instance struct {
+	Server  chivehillid.ServerID
+	Started int64
+}
+
+// Instance returns the run of the server.
+func (s Server) Instance() Instance { return Instance{Server: s.ID, Started: s.Started} }
+
 // Host is an entry host: this one or another.
 type Host struct {
 	ID chivehillid.HostID
--- a/internal/chivehillgateway/choose.go
+++ b/internal/chivehillgateway/choose.go
@@ -172,9 +172,12 @@
 	}
 }
 
-// probe sends a health check. It returns nil if the server could not be reached,
-// sent no usable response, or is not healthy.
+// probe sends a health check. It returns nil if the server must get none, could not be
+// reached, sent no usable response, or is not healthy.
 func (g *Gateway) probe(path string, candidate chivehillselector.Candidate, serviceTime chivehillclock.Millis) *choice {
+	if !g.Table.MayProbe(candidate.ID()) {
+		return nil
+	}
 	// The context is not derived from the caller's: cancelling a probe would
 	// close its connection.
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout.Duration())
@@ -215,6 +218,7 @@
 		g.Table.RecordProbe(candidate.ID(), false, chivehillselector.Moved{})
 		return nil
 	}
+	g.recordNotice(candidate.Server, metadata)
 	healthy := response.Status == http.StatusOK
 	g.Metrics.Probes.WithLabelValues(probeResult(response)).Inc()
 	if metadata.NotExecuted {
--- a/internal/chivehillgateway/gateway.go
+++ b/internal/chivehillgateway/gateway.go
@@ -53,11 +53,13 @@
 	Self chivehillid.HostID
 	// OnKill is called when this host has recorded one more kill; kills is the
 	// number that this host has recorded for the fingerprint.
-	OnKill  func(f chivehillid.Fingerprint, kills int)
-	Headers HeaderCodec
-	Clock   *chivehillclock.Clock
-	Metrics *chivehillmetrics.Gateway
-	Log     zerolog.Logger
+	OnKill func(f chivehillid.Fingerprint, kills int)
+	// OnLeaving is called when a server's response was the first to say that it leaves.
+	OnLeaving func(chivehillcatalog.Instance)
+	Headers   HeaderCodec
+	Clock     *chivehillclock.Clock
+	Metrics   *chivehillmetrics.Gateway
+	Log       zerolog.Logger
 }
 
 // Gateway handles requests from callers. It is safe for concurrent use.
--- a/internal/chivehillgateway/send.go
+++ b/internal/chivehillgateway/send.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 
+	"github.com/chivehill/chivehill/internal/chivehillcatalog"
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 	"github.com/chivehill/chivehill/internal/chivehillfront"
 	"github.com/chivehill/chivehill/internal/chivehillreason"
@@ -85,6 +86,9 @@
 	c.tried = append(c.tried, candidate.ID())
 	c.sentAt = g.Clock.Now()
 	response, err := g.send(ctx, c, candidate, lease)
+	if err == nil && !response.Metadata.Misdirected {
+		g.recordNotice(candidate.Server, response.Metadata)
+	}
 	result, outcome := g.classify(ctx, c, response, err)
 	g.Table.Release(candidate.ID(), outcome)
 	if err == nil && response.Metadata.HasLoad {
@@ -102,6 +106,16 @@
 	return result
 }
 
+// recordNotice records what a server asks of its callers in a response, and tells the other
+// hosts if it leaves.
+func (g *Gateway) recordNotice(server chivehillcatalog.Server, metadata chivehillupstream.ResponseMetadata) {
+	if !g.Table.RecordNotice(server, metadata) {
+		return
+	}
+	g.Metrics.Leaves.Inc()
+	g.OnLeaving(server.Instance())
+}
+
 func (g *Gateway) connect(ctx context.Context, chosen *choice) (*chivehillupstream.Lease, error) {
 	if chosen.lease != nil {
 		return chosen.lease, nil
--- a/internal/chivehillhost/host.go
+++ b/internal/chivehillhost/host.go
@@ -121,14 +121,14 @@
 	h.watcher = &chivehillwatcher.Watcher{Store: p.Store, Catalog: h.catalog, Clock: h.clock, Metrics: h.metrics, Log: log}
 	h.suspects = chivehillsuspect.New()
 	h.relay = chivehillrelay.New(chivehillrelay.Options{
-		Suspects: h.suspects, Self: h.self, FirstStart: s.FirstStart, Seeds: nonEmpty(s.SeedAddresses), Catalog: h.catalog, Clock: h.clock, Log: log, Contact: h.watcher.LastContact, StoreUnreachable: h.watcher.Unreachable,
+		Suspects: h.suspects, MarkLeaving: h.table.MarkLeaving, Self: h.self, FirstStart: s.FirstStart, Seeds: nonEmpty(s.SeedAddresses), Catalog: h.catalog, Clock: h.clock, Log: log, Contact: h.watcher.LastContact, StoreUnreachable: h.watcher.Unreachable,
 		SetWatch: h.setWatching, DownChanged: h.onDownChange,
 	})
 	h.watcher.OnUpdate = h.relay.Publish
 	h.pools = chivehillgateway.NewPools(p.Headers, int64(s.MemoryMb*bytesPerMB*maxResponseShare))
 	h.budget = chivehillgateway.NewRetryBudget(s.Bounds.RetryRatio, s.Bounds.RetrySlack, 1)
 	gateway := chivehillgateway.New(chivehillgateway.Options{
-		Suspects: h.suspects, Self: s.Host, OnKill: h.relay.ReportSuspect,
+		Suspects: h.suspects, Self: s.Host, OnKill: h.relay.ReportSuspect, OnLeaving: h.relay.ReportLeaving,
 		Catalog: h, Table: h.table, Pools: h.pools, Budget: h.budget, Headers: p.Headers, Clock: h.clock, Metrics: h.metrics, Log: log,
 	})
 	h.front = &chivehillfront.Server{
@@ -263,6 +263,7 @@
 	chivehillclock.Every(ctx, cleanupInterval, func() {
 		h.pools.Prune(h.catalog.View().Servers)
 		h.metrics.RateLimited.Set(float64(h.table.RateLimited()))
+		h.metrics.Leaving.Set(float64(h.table.Leaving()))
 		h.removeDownHosts(ctx)
 	})
 }
--- a/internal/chivehillmetrics/gateway.go
+++ b/internal/chivehillmetrics/gateway.go
@@ -37,6 +37,10 @@
 	Watching prometheus.Gauge
 	// RateLimited is the number of servers that state a rate limit.
 	RateLimited prometheus.Gauge
+	// Leaves counts servers whose response to this host was the first to say that they leave.
+	Leaves prometheus.Counter
+	// Leaving is the number of listed servers that leave by their own word.
+	Leaving prometheus.Gauge
 }
 
 // NewGateway registers all metrics. Each refusal and retry reason starts at zero,
@@ -58,8 +62,10 @@
 		Watching:   gauge("watching", "1 while this host watches the store."),
 
 		RateLimited: gauge("servers_rate_limited", "Servers that state a rate limit."),
+		Leaving:     gauge("servers_leaving", "Listed servers that leave by their own word."),
+		Leaves:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: "chivehill", Name: "server_leaves_total", Help: "Servers that were first heard to leave by this host."}),
 	}
-	m.Registry.MustRegister(m.Requests, m.Refusals, m.Retries, m.Probes, m.StoreCalls, m.Seconds, m.Version, m.LogDropped, m.Down, m.Watching, m.RateLimited,
+	m.Registry.MustRegister(m.Requests, m.Refusals, m.Retries, m.Probes, m.StoreCalls, m.Seconds, m.Version, m.LogDropped, m.Down, m.Watching, m.RateLimited, m.Leaving, m.Leaves,
 		collectors.NewGoCollector())
 	for _, r := range chivehillreason.Refusals {
 		m.Refusals.WithLabelValues(string(r), string(chivehillreason.NotRun))
--- a/internal/chivehillrelay/relay.go
+++ b/internal/chivehillrelay/relay.go
@@ -35,9 +35,12 @@
 	Seeds      []string
 	// Suspects is the table of requests after which servers went down.
 	Suspects *chivehillsuspect.Table
-	Catalog  *chivehillcatalog.Catalog
-	Clock    *chivehillclock.Clock
-	Log      zerolog.Logger
+	// MarkLeaving records that an instance of a server leaves and reports whether that was
+	// not known.
+	MarkLeaving func(chivehillcatalog.Instance) bool
+	Catalog     *chivehillcatalog.Catalog
+	Clock       *chivehillclock.Clock
+	Log         zerolog.Logger
 	// Contact returns when the store last answered this host, and whether it ever did.
 	Contact func() (at chivehillclock.Millis, hasContact bool)
 	// StoreUnreachable reports whether this host watches the store and has received no answers
--- a/internal/chivehillrelay/update.go
+++ b/internal/chivehillrelay/update.go
@@ -74,6 +74,9 @@
 	for _, s := range m.Suspects {
 		r.receiveSuspect(l, s)
 	}
+	for _, e := range m.Leaving {
+		r.receiveLeaving(l, e)
+	}
 	for _, c := range m.Want {
 		r.sendSnapshot(l, c)
 	}
@@ -164,9 +167,30 @@
 }
 
 func (r *Relay) sendSuspect(except *link, s chivehillwire.RelaySuspect) {
+	r.addToOthers(except, func(m *chivehillwire.RelayMessage) { m.Suspects = append(m.Suspects, s) })
+}
+
+// ReportLeaving reports to all peers that an instance of a server leaves.
+func (r *Relay) ReportLeaving(i chivehillcatalog.Instance) {
+	r.sendLeaving(nil, chivehillwire.RelayLeaving{Server: i.Server, Started: i.Started})
+}
+
+// receiveLeaving records a peer's report of a leaving server and forwards it if it is news.
+func (r *Relay) receiveLeaving(from *link, e chivehillwire.RelayLeaving) {
+	if r.MarkLeaving(chivehillcatalog.Instance{Server: e.Server, Started: e.Started}) {
+		r.sendLeaving(from, e)
+	}
+}
+
+func (r *Relay) sendLeaving(except *link, e chivehillwire.RelayLeaving) {
+	r.addToOthers(except, func(m *chivehillwire.RelayMessage) { m.Leaving = append(m.Leaving, e) })
+}
+
+// addToOthers applies change to the pending messages of all links but one.
+func (r *Relay) addToOthers(except *link, change func(*chivehillwire.RelayMessage)) {
 	for _, l := range r.allLinks() {
 		if l != except {
-			l.add(func(m *chivehillwire.RelayMessage) { m.Suspects = append(m.Suspects, s) })
+			l.add(change)
 		}
 	}
 }
--- a/internal/chivehillselector/server.go
+++ b/internal/chivehillselector/server.go
@@ -37,6 +37,8 @@
 	mu sync.Mutex
 	// entry is replaced when the store has a newer one.
 	entry chivehillcatalog.Server
+	// notice is that of the entry's instance. It has its own lock.
+	notice *notice
 	// running is the number of requests that this host has running on the server.
 	running int
 	// pendingProbes is the number of probes without a response. They are pending
--- a/internal/chivehillselector/table.go
+++ b/internal/chivehillselector/table.go
@@ -54,6 +54,9 @@
 	share    Share
 	log      zerolog.Logger
 
+	// notices has its own lock.
+	notices notices
+
 	mu      sync.RWMutex
 	servers map[chivehillid.ServerID]*serverState
 	// byService is replaced whenever servers is.
@@ -64,7 +67,10 @@
 
 // NewTable returns an empty table.
 func NewTable(location Location, clock *chivehillclock.Clock, share Share, log zerolog.Logger) *Table {
-	return &Table{location: location, clock: clock, share: share, log: log, servers: make(map[chivehillid.ServerID]*serverState)}
+	return &Table{
+		location: location, clock: clock, share: share, log: log, servers: make(map[chivehillid.ServerID]*serverState),
+		notices: notices{byInstance: make(map[chivehillcatalog.Instance]*notice)},
+	}
 }
 
 // Sync updates the table to the servers, withdrawn failure domains and services of
@@ -77,6 +83,7 @@
 	v := read()
 	servers := make(map[chivehillid.ServerID]*serverState, len(v.Servers))
 	byService := make(map[chivehillid.ServiceID]*byDistance)
+	listed := make(map[chivehillcatalog.Instance]bool, len(v.Servers))
 	for id, e := range v.Servers {
 		s := t.servers[id]
 		if s == nil {
@@ -84,7 +91,8 @@
 			// Servers of the first view are not new: they were there before this host read it.
 			s.newlyAvailable = len(t.servers) > 0
 		}
-		s.update(now, e, t.withdrawn[e.Domain] && !v.Withdrawn[e.Domain])
+		listed[e.Instance()] = true
+		s.update(now, e, t.notices.of(now, e.Instance()), t.withdrawn[e.Domain] && !v.Withdrawn[e.Domain])
 		servers[id] = s
 		groups := byService[e.Service]
 		if groups == nil {
@@ -96,6 +104,7 @@
 	}
 	t.servers, t.byService = servers, byService
 	t.withdrawn, t.services = v.Withdrawn, v.Configuration.Services
+	t.notices.prune(now, listed)
 }
 
 // newServerState returns the state of a server that was not in the table. Whether it
@@ -106,9 +115,10 @@
 
 // update replaces the entry. domainReturned is set if the server's failure domain is
 // no longer withdrawn; its servers may have become cold in the meantime.
-func (s *serverState) update(now chivehillclock.Millis, e chivehillcatalog.Server, domainReturned bool) {
+func (s *serverState) update(now chivehillclock.Millis, e chivehillcatalog.Server, n *notice, domainReturned bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.notice = n
 	restarted := e.Started != s.entry.Started || e.Address != s.entry.Address
 	if restarted || domainReturned {
 		s.coldUnknown = true
@@ -185,7 +195,7 @@
 	defer s.mu.Unlock()
 	e := s.entry
 	region, known := t.location.Regions[e.Domain]
-	if e.Draining || t.withdrawn[e.Domain] || !known || !requirements.Regions.Allows(region) || now < s.ejectedUntil {
+	if e.Draining || s.notice.forbids() || t.withdrawn[e.Domain] || !known || !requirements.Regions.Allows(region) || now < s.ejectedUntil {
 		return Candidate{}, false
 	}
 	if slices.Contains(requirements.Exclude, e.ID) || s.isUnresponsive(now) {
@@ -256,7 +266,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.entry.Draining || s.entry.Service != c.Server.Service {
+	if s.entry.Draining || s.notice.forbids() || s.entry.Service != c.Server.Service {
 		return false
 	}
 	if !t.withinRates(now, s) {
@@ -272,7 +282,7 @@
 	return true
 }
 
-// MayClaim reports whether the rates of a server permit one more request of this host now.
+// MayClaim reports whether a server may get one more request of this host now.
 func (t *Table) MayClaim(id chivehillid.ServerID) bool {
 	s := t.get(id)
 	if s == nil {
@@ -280,7 +290,13 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return t.withinRates(t.clock.Now(), s)
+	return !s.notice.forbids() && t.withinRates(t.clock.Now(), s)
+}
+
+// MayProbe reports whether a server may get a probe.
+func (t *Table) MayProbe(id chivehillid.ServerID) bool {
+	s := t.get(id)
+	return s != nil && !s.forbidden()
 }
 
 // Eligible reports whether a candidate may handle a request with the given requirements.
--- a/internal/chivehillupstream/types.go
+++ b/internal/chivehillupstream/types.go
@@ -52,6 +52,8 @@
 	// RateLimit is how many requests a second the server accepts from all hosts together;
 	// 0 if it states no limit.
 	RateLimit RequestsPerSecond
+	// Leaving is set if the server says that it leaves and must get no new requests.
+	Leaving bool
 }
 
 // HeaderParser parses the response headers that are meant for the gateway.
--- a/internal/chivehillwire/relay.go
+++ b/internal/chivehillwire/relay.go
@@ -65,6 +65,15 @@
 	Region chivehillid.RegionID `json:"region"`
 }
 
+// One run of a server that has said that it leaves.
+type RelayLeaving struct {
+	// Name of the server.
+	Server chivehillid.ServerID `json:"server"`
+
+	// Start time of the run in Unix milliseconds, 0 if unknown.
+	Started int64 `json:"started"`
+}
+
 // One message between hosts that follow the store.
 type RelayMessage struct {
 	// Beat corresponds to the JSON schema field "beat".
@@ -73,6 +82,9 @@
 	// Hello corresponds to the JSON schema field "hello".
 	Hello *RelayHello `json:"hello,omitempty"`
 
+	// Servers that have said that they leave.
+	Leaving []RelayLeaving `json:"leaving,omitempty"`
+
 	// Further messages, each encoded and compressed; they come first.
 	Packed [][]byte `json:"packed,omitempty"`
 
