fix: a server that asks for quiet gets nothing meanwhile

What callers saw: requests and health checks reached a server that had asked for none; when all servers did so, callers waited for the route's objective and were told to return at once, and again.

Cause: the Retry-After of a server's 503 was not read. A refusal ranked the server last for 0.1 s only, and a failed health check kept it out for 0.5 s.

It is checked where leaving is: choice, probe, claim. If all servers that could handle a request are quiet, the request is refused at once (servers-quiet), queued ones are given up, and Retry-After ends within a second after the first server is open again.

Why it works: choices, probes of waiting requests, retries and queued assignments all pass MayProbe or Claim.

--- a/internal/chivehillclock/clock.go
+++ b/internal/chivehillclock/clock.go
@@ -19,6 +19,7 @@
 	Millisecond Millis = 1
 	Second      Millis = 1000
 	Minute      Millis = 60 * Second
+	Hour        Millis = 60 * Minute
 )
 
 // Duration converts a duration in milliseconds to a time.Duration.
--- a/internal/chivehillgateway/gateway.go
+++ b/internal/chivehillgateway/gateway.go
@@ -202,10 +202,28 @@
 }
 
 // refuse returns the response to a request for which no server gave a response that
-// can be returned. It logs and counts the refusal. If the request did not run and the
-// status is 503, the Retry-After header is at least retryAfter, with jitter up to
-// twice that time.
+// can be returned. If the request did not run and the status is 503, the Retry-After
+// header is at least retryAfter, with jitter up to twice that time.
 func (g *Gateway) refuse(c *call, reason chivehillreason.Reason, retryAfter chivehillclock.Millis) chivehillfront.Response {
+	retryAfter = max(retryAfter, minRetryAfter)
+	return g.refuseUntil(c, reason, retryAfter, retryAfter)
+}
+
+// quietSpread is the time over which callers come back to servers that asked for quiet.
+const quietSpread = chivehillclock.Second
+
+// refuseForCapacity refuses a request that found no server or none that took it. If all
+// servers have asked for quiet, callers come back when the first of them is open again.
+func (g *Gateway) refuseForCapacity(c *call, reason chivehillreason.Reason, retryAfter chivehillclock.Millis) chivehillfront.Response {
+	if end, allQuiet := g.Table.QuietEnd(c.requirements()); allQuiet && !c.mayHaveRun {
+		return g.refuseUntil(c, chivehillreason.ServersQuiet, end-g.Clock.Now(), quietSpread)
+	}
+	return g.refuse(c, reason, retryAfter)
+}
+
+// refuseUntil logs and counts a refusal. The Retry-After header, if any, is between
+// retryAfter and that plus spread.
+func (g *Gateway) refuseUntil(c *call, reason chivehillreason.Reason, retryAfter, spread chivehillclock.Millis) chivehillfront.Response {
 	outcome := chivehillreason.NotRun
 	if c.mayHaveRun {
 		outcome = chivehillreason.Unknown
@@ -214,8 +232,7 @@
 	g.Metrics.Refuse(refusal)
 	response := chivehillfront.Response{Status: chivehillreason.Status(outcome, reason), Header: http.Header{}}
 	if outcome == chivehillreason.NotRun && response.Status == http.StatusServiceUnavailable {
-		retryAfter = max(retryAfter, minRetryAfter)
-		seconds := float64(retryAfter/chivehillclock.Second) * (1 + rand.Float64())
+		seconds := float64((retryAfter + spread*chivehillclock.Millis(rand.Float64())) / chivehillclock.Second)
 		response.Header.Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
 	}
 	g.Log.Info().Str("request", string(c.id)).Str("route", string(c.route.ID)).Uint64("version", uint64(c.version)).
--- a/internal/chivehillgateway/refusals_test.go
+++ b/internal/chivehillgateway/refusals_test.go
@@ -39,7 +39,7 @@
 func (testHeaderCodec) ParseResponse(status int, h http.Header) chivehillupstream.ResponseMetadata {
 	return chivehillupstream.ResponseMetadata{
 		RequestID: chivehillid.RequestID(h.Get("Id")), Signed: h.Get("Signed") != "", NotExecuted: h.Get("Not-Executed") != "",
-		Misdirected: status == http.StatusMisdirectedRequest, ColdRemaining: coldRemaining(h),
+		Misdirected: status == http.StatusMisdirectedRequest, ColdRemaining: coldRemaining(h), Quiet: quiet(h),
 	}
 }
 
@@ -51,6 +51,14 @@
 	return 10 * chivehillclock.Second
 }
 
+// quiet returns a fixed time if a response has the Quiet header.
+func quiet(h http.Header) chivehillclock.Millis {
+	if h.Get("Quiet") == "" {
+		return 0
+	}
+	return 10 * chivehillclock.Second
+}
+
 func (testHeaderCodec) RequestID(h http.Header) chivehillid.RequestID {
 	return chivehillid.RequestID(h.Get("Id"))
 }
@@ -225,11 +233,12 @@
 type handlers = []func(*scriptedServer, net.Conn)
 
 var (
-	refused     = respond(http.StatusServiceUnavailable, "Not-Executed: 1\r\n")
-	failed      = respond(http.StatusInternalServerError, "Signed: 1\r\n")
-	misdirected = respond(http.StatusMisdirectedRequest, "")
-	unsigned    = respond(http.StatusOK, "")
-	signed      = respond(http.StatusOK, "Signed: 1\r\n")
+	refused      = respond(http.StatusServiceUnavailable, "Not-Executed: 1\r\n")
+	asksForQuiet = respond(http.StatusServiceUnavailable, "Not-Executed: 1\r\nQuiet: 1\r\n")
+	failed       = respond(http.StatusInternalServerError, "Signed: 1\r\n")
+	misdirected  = respond(http.StatusMisdirectedRequest, "")
+	unsigned     = respond(http.StatusOK, "")
+	signed       = respond(http.StatusOK, "Signed: 1\r\n")
 )
 
 // refusals has a test case for each refusal.
@@ -249,6 +258,9 @@
 	{scenario{cold: true, healthHeaders: "Cold: 1\r\n", servers: handlers{signed}}, chivehillreason.NoServer, chivehillreason.NotRun, 503},
 	{scenario{servers: handlers{refused, refused}}, chivehillreason.ServerRefused, chivehillreason.NotRun, 503},
 	{scenario{nonIdempotent: true, servers: handlers{refused, refused}}, chivehillreason.ServerRefused, chivehillreason.NotRun, 503},
+	{scenario{servers: handlers{asksForQuiet, asksForQuiet}}, chivehillreason.ServersQuiet, chivehillreason.NotRun, 503},
+	{scenario{nonIdempotent: true, servers: handlers{asksForQuiet}}, chivehillreason.ServersQuiet, chivehillreason.NotRun, 503},
+	{scenario{healthHeaders: "Quiet: 1\r\n", servers: handlers{signed}}, chivehillreason.ServersQuiet, chivehillreason.NotRun, 503},
 	{scenario{healthHeaders: "Connection: close\r\n", servers: handlers{signed}}, chivehillreason.ServerUnreachable, chivehillreason.NotRun, 503},
 	{scenario{nonIdempotent: true, servers: handlers{misdirected}}, chivehillreason.ServerMoved, chivehillreason.NotRun, 503},
 	{scenario{nonIdempotent: true, servers: handlers{closeConnection}}, chivehillreason.ServerBroke, chivehillreason.Unknown, 502},
--- a/internal/chivehillgateway/send.go
+++ b/internal/chivehillgateway/send.go
@@ -39,18 +39,18 @@
 		}
 		chosen := g.findServer(ctx, c)
 		if chosen == nil {
-			return g.refuse(c, last.reason, max(retryAfterNoServer, retryAfterFraction*(c.deadline-g.Clock.Now())))
+			return g.refuseForCapacity(c, last.reason, max(retryAfterNoServer, retryAfterFraction*(c.deadline-g.Clock.Now())))
 		}
 		if c.attempts > 0 && !g.Budget.Take(c.service.ID) {
 			chosen.release()
-			return g.refuse(c, last.reason, retryAfterBusy)
+			return g.refuseForCapacity(c, last.reason, retryAfterBusy)
 		}
 		last = g.attempt(ctx, c, chosen)
 		if last.response != nil {
 			return g.respond(c, chosen.assessment, *last.response)
 		}
 		if !last.retryable || c.attempts >= c.route.MaxAttempts {
-			return g.refuse(c, last.reason, retryAfterBusy)
+			return g.refuseForCapacity(c, last.reason, retryAfterBusy)
 		}
 		g.Metrics.Retries.WithLabelValues(string(last.reason)).Inc()
 	}
--- a/internal/chivehillgateway/wait.go
+++ b/internal/chivehillgateway/wait.go
@@ -49,6 +49,9 @@
 		return chosen
 	}
 	chosen.release()
+	if g.allQuiet(c.requirements()) {
+		return nil
+	}
 	return g.waitForCapacity(ctx, c)
 }
 
@@ -70,7 +73,8 @@
 }
 
 // waitForCapacity queues a request until a server with spare capacity is assigned
-// to it. It returns nil if that does not happen by the latest useful start.
+// to it. It returns nil if that does not happen by the latest useful start, or if all
+// servers ask for quiet.
 func (g *Gateway) waitForCapacity(ctx context.Context, c *call) *choice {
 	latestStart := g.latestStart(c)
 	now := g.Clock.Now()
@@ -88,8 +92,8 @@
 	timer := time.NewTimer((latestStart - now).Duration())
 	defer timer.Stop()
 	select {
-	case assigned := <-waiter.Assigned:
-		return g.assignedChoice(c, assigned)
+	case assigned, found := <-waiter.Assigned:
+		return g.assignedChoice(c, assigned, found)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -97,10 +101,16 @@
 		return nil
 	}
 	// A server was assigned at the same time as the wait ended.
-	return g.assignedChoice(c, <-waiter.Assigned)
+	assigned, found := <-waiter.Assigned
+	return g.assignedChoice(c, assigned, found)
 }
 
-func (g *Gateway) assignedChoice(c *call, assigned chivehillselector.Candidate) *choice {
+// assignedChoice returns the choice of a server that was assigned to a queued request, or
+// nil if the queue gave the request up.
+func (g *Gateway) assignedChoice(c *call, assigned chivehillselector.Candidate, found bool) *choice {
+	if !found {
+		return nil
+	}
 	load, _ := g.Table.RecentLoad(assigned.ID(), chivehillselector.MaxFreshLoadAge)
 	return &choice{assessment: chivehillselector.NewAssessment(assigned, chivehillupstream.ResponseMetadata{Load: load, HasLoad: load.Slots > 0}, c.serviceTime)}
 }
@@ -125,6 +135,10 @@
 		if !found {
 			continue
 		}
+		if g.allQuiet(requirements) {
+			queue.GiveUp(g.allQuiet)
+			continue
+		}
 		candidates := g.Table.InRegion(requirements, probesPerRound)
 		candidates = append(candidates, g.Table.InOtherRegions(requirements, probesPerRound-len(candidates))...)
 		for _, candidate := range candidates {
@@ -133,6 +147,12 @@
 	}
 }
 
+// allQuiet reports whether all servers that could handle a request ask for quiet.
+func (g *Gateway) allQuiet(requirements chivehillselector.Requirements) bool {
+	_, allQuiet := g.Table.QuietEnd(requirements)
+	return allQuiet
+}
+
 func (g *Gateway) probeForCapacity(healthPath string, candidate chivehillselector.Candidate) {
 	// The service time is 0 because the estimate is not used.
 	chosen := g.probe(healthPath, candidate, 0)
--- a/internal/chivehillhost/host.go
+++ b/internal/chivehillhost/host.go
@@ -263,7 +263,9 @@
 	chivehillclock.Every(ctx, cleanupInterval, func() {
 		h.pools.Prune(h.catalog.View().Servers)
 		h.metrics.RateLimited.Set(float64(h.table.RateLimited()))
-		h.metrics.Leaving.Set(float64(h.table.Leaving()))
+		leaving, quiet := h.table.Notices()
+		h.metrics.Leaving.Set(float64(leaving))
+		h.metrics.Quiet.Set(float64(quiet))
 		h.removeDownHosts(ctx)
 	})
 }
--- a/internal/chivehillmetrics/gateway.go
+++ b/internal/chivehillmetrics/gateway.go
@@ -41,6 +41,8 @@
 	Leaves prometheus.Counter
 	// Leaving is the number of listed servers that leave by their own word.
 	Leaving prometheus.Gauge
+	// Quiet is the number of listed servers that want nothing from this host for now.
+	Quiet prometheus.Gauge
 }
 
 // NewGateway registers all metrics. Each refusal and retry reason starts at zero,
@@ -63,9 +65,10 @@
 
 		RateLimited: gauge("servers_rate_limited", "Servers that state a rate limit."),
 		Leaving:     gauge("servers_leaving", "Listed servers that leave by their own word."),
+		Quiet:       gauge("servers_quiet", "Listed servers that want nothing from this host for now."),
 		Leaves:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: "chivehill", Name: "server_leaves_total", Help: "Servers that were first heard to leave by this host."}),
 	}
-	m.Registry.MustRegister(m.Requests, m.Refusals, m.Retries, m.Probes, m.StoreCalls, m.Seconds, m.Version, m.LogDropped, m.Down, m.Watching, m.RateLimited, m.Leaving, m.Leaves,
+	m.Registry.MustRegister(m.Requests, m.Refusals, m.Retries, m.Probes, m.StoreCalls, m.Seconds, m.Version, m.LogDropped, m.Down, m.Watching, m.RateLimited, m.Leaving, m.Quiet, m.Leaves,
 		collectors.NewGoCollector())
 	for _, r := range chivehillreason.Refusals {
 		m.Refusals.WithLabelValues(string(r), string(chivehillreason.NotRun))
--- a/internal/chivehillqueue/queue.go
+++ b/internal/chivehillqueue/queue.go
@@ -24,8 +24,8 @@
 	LatestStart chivehillclock.Millis
 	// Requirements holds the constraints on the server.
 	Requirements chivehillselector.Requirements
-	// Assigned receives the assigned server. It must have a buffer of one, because Offer
-	// sends while it holds the lock.
+	// Assigned receives the assigned server, or is closed if the queue gives the request
+	// up. It must have a buffer of one, because Offer sends while it holds the lock.
 	Assigned chan chivehillselector.Candidate
 }
 
@@ -81,6 +81,19 @@
 	return requirements, false
 }
 
+// GiveUp removes the waiters whose requirements match and closes their channels.
+func (q *Queue) GiveUp(match func(chivehillselector.Requirements) bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.waiting = slices.DeleteFunc(q.waiting, func(w *Waiter) bool {
+		matches := match(w.Requirements)
+		if matches {
+			close(w.Assigned)
+		}
+		return matches
+	})
+}
+
 // Offer assigns a server to the first waiter that can still start in time and for
 // which the server is eligible. It reports whether there was one.
 func (q *Queue) Offer(now chivehillclock.Millis, candidate chivehillselector.Candidate, eligible func(chivehillselector.Requirements, chivehillselector.Candidate) bool) bool {
--- a/internal/chivehillqueue/queue_test.go
+++ b/internal/chivehillqueue/queue_test.go
@@ -47,3 +47,16 @@
 	qt.Assert(t, unconstrained.Assigned, qt.HasLen, 1)
 	qt.Assert(t, constrained.Assigned, qt.HasLen, 0)
 }
+
+func TestGivenUpWaitersStayInTheQueue(t *testing.T) {
+	givenUp, kept := newWaiter(0, 50), newWaiter(1, 50)
+	givenUp.Requirements = chivehillselector.Requirements{Service: "s"}
+	q := &Queue{}
+	q.Push(givenUp)
+	q.Push(kept)
+	q.GiveUp(func(r chivehillselector.Requirements) bool { return r.Service == "s" })
+	_, open := <-givenUp.Assigned
+	qt.Assert(t, open, qt.IsFalse)
+	qt.Assert(t, q.Remove(givenUp), qt.IsFalse)
+	qt.Assert(t, q.Remove(kept), qt.IsTrue)
+}
--- a/internal/chivehillreason/reason.go
+++ b/internal/chivehillreason/reason.go
@@ -48,6 +48,7 @@
 	NoIdleSlot          Reason = "no-idle-slot"
 	SlotExpired         Reason = "slot-expired"
 	ServerRefused       Reason = "server-refused"
+	ServersQuiet        Reason = "servers-quiet"
 	ServerUnreachable   Reason = "server-unreachable"
 	ServerBroke         Reason = "server-broke"
 	ServerSilent        Reason = "server-silent"
@@ -64,7 +65,7 @@
 	NoRoute, BadDeadline, BodyTooLarge, BodyUnreadable, KeyMissing, KeyMalformed, KeyMismatch, KeyTableFull,
 	KeyWindowClosed, KeyOwnerGone, KeyOwnerUnreachable, KeyNeverUsed, AnswerNotKept, RegionForbidden, ConfigMissing,
 	ConfigUnconfirmed, Stopping, Suspect, DeadlinePassed, Overload, NoServer, NoIdleSlot, SlotExpired,
-	ServerRefused, ServerUnreachable, ServerBroke, ServerSilent, ServerMoved, ServerSpoiled, ServerFailed, AnswerTooLarge, CallerGone, Internal,
+	ServerRefused, ServersQuiet, ServerUnreachable, ServerBroke, ServerSilent, ServerMoved, ServerSpoiled, ServerFailed, AnswerTooLarge, CallerGone, Internal,
 }
 
 // Retries lists the reasons for which a request is retried.
--- a/internal/chivehillselector/notice.go
+++ b/internal/chivehillselector/notice.go
@@ -12,24 +12,49 @@
 // entry of the server may come back.
 const noticeRetention = 10 * chivehillclock.Minute
 
-// notice is what one instance of a server has asked of its callers in its responses. It
-// outlives the entry of the server and holds whatever the store says of that instance. It
-// ends when the server starts again.
+// notice is what one instance of a server has asked of this host, or of all hosts, in its
+// responses. It outlives the entry of the server and holds whatever the store says of that
+// instance. It ends when the server starts again.
 type notice struct {
 	mu sync.Mutex
 	// leaving is set for good once the instance has said that it leaves.
 	leaving bool
+	// quietUntil is when the time ends for which the instance wants nothing from this host.
+	quietUntil chivehillclock.Millis
 	// listedAt is when the server was last in the table.
 	listedAt chivehillclock.Millis
 }
 
 // forbids reports whether the instance must get no requests and no probes.
-func (n *notice) forbids() bool {
+func (n *notice) forbids(now chivehillclock.Millis) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leaving || now < n.quietUntil
+}
+
+// isLeaving reports whether the instance has said that it leaves.
+func (n *notice) isLeaving() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.leaving
 }
 
+// quietEnd returns when the time ends for which the instance wants nothing from this host.
+func (n *notice) quietEnd() chivehillclock.Millis {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.quietUntil
+}
+
+// extendQuiet reports whether the instance was not quiet before.
+func (n *notice) extendQuiet(now, until chivehillclock.Millis) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	began := n.quietUntil <= now
+	n.quietUntil = max(n.quietUntil, until)
+	return began
+}
+
 // markLeaving reports whether the instance was not yet known to leave.
 func (n *notice) markLeaving() bool {
 	n.mu.Lock()
@@ -74,6 +99,10 @@
 // RecordNotice records what a server asks of its callers in a response. It reports whether
 // this is the first that is known of the server leaving.
 func (t *Table) RecordNotice(s chivehillcatalog.Server, r chivehillupstream.ResponseMetadata) (leaves bool) {
+	now := t.clock.Now()
+	if r.Quiet > 0 && t.notices.of(now, s.Instance()).extendQuiet(now, now+r.Quiet) {
+		t.log.Info().Str("server", string(s.ID)).Float64("quiet-ms", float64(r.Quiet)).Msg("selector: server asks this host for quiet.")
+	}
 	return r.Leaving && t.MarkLeaving(s.Instance())
 }
 
@@ -87,22 +116,61 @@
 	return news
 }
 
-// Leaving returns the number of servers that leave by their own word.
-func (t *Table) Leaving() int {
+// Notices returns how many servers leave by their own word, and from how many this host is
+// asked for quiet.
+func (t *Table) Notices() (leaving, quiet int) {
+	now := t.clock.Now()
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	n := 0
 	for _, s := range t.servers {
-		if s.forbidden() {
-			n++
+		switch n := s.currentNotice(); {
+		case n.isLeaving():
+			leaving++
+		case n.forbids(now):
+			quiet++
+		}
+	}
+	return leaving, quiet
+}
+
+func (s *serverState) currentNotice() *notice {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.notice
+}
+
+// QuietEnd returns when the first server ends its quiet, if all servers that could handle a
+// request, whether tried or not, want nothing from this host. Otherwise allQuiet is false.
+func (t *Table) QuietEnd(requirements Requirements) (first chivehillclock.Millis, allQuiet bool) {
+	now := t.clock.Now()
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	groups := t.byService[requirements.Service]
+	if groups == nil {
+		return 0, false
+	}
+	for _, servers := range groups {
+		for _, s := range servers {
+			n, usable := t.usableNotice(s, requirements)
+			switch end := n.quietEnd(); {
+			case !usable:
+			case end <= now:
+				return 0, false
+			case !allQuiet || end < first:
+				first, allQuiet = end, true
+			}
 		}
 	}
-	return n
+	return first, allQuiet
 }
 
-// forbidden reports whether the server must get no requests and no probes.
-func (s *serverState) forbidden() bool {
+// usableNotice returns the notice of a server and whether the server could handle a request
+// but for its quiet.
+func (t *Table) usableNotice(s *serverState, requirements Requirements) (n *notice, usable bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.notice.forbids()
+	e := s.entry
+	region, known := t.location.Regions[e.Domain]
+	usable = known && !e.Draining && !t.withdrawn[e.Domain] && requirements.Regions.Allows(region) && !s.notice.isLeaving()
+	return s.notice, usable
 }
--- a/internal/chivehillselector/table.go
+++ b/internal/chivehillselector/table.go
@@ -195,7 +195,7 @@
 	defer s.mu.Unlock()
 	e := s.entry
 	region, known := t.location.Regions[e.Domain]
-	if e.Draining || s.notice.forbids() || t.withdrawn[e.Domain] || !known || !requirements.Regions.Allows(region) || now < s.ejectedUntil {
+	if e.Draining || s.notice.forbids(now) || t.withdrawn[e.Domain] || !known || !requirements.Regions.Allows(region) || now < s.ejectedUntil {
 		return Candidate{}, false
 	}
 	if slices.Contains(requirements.Exclude, e.ID) || s.isUnresponsive(now) {
@@ -266,7 +266,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.entry.Draining || s.notice.forbids() || s.entry.Service != c.Server.Service {
+	if s.entry.Draining || s.notice.forbids(now) || s.entry.Service != c.Server.Service {
 		return false
 	}
 	if !t.withinRates(now, s) {
@@ -290,13 +290,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.notice.forbids() && t.withinRates(t.clock.Now(), s)
+	now := t.clock.Now()
+	return !s.notice.forbids(now) && t.withinRates(now, s)
 }
 
 // MayProbe reports whether a server may get a probe.
 func (t *Table) MayProbe(id chivehillid.ServerID) bool {
 	s := t.get(id)
-	return s != nil && !s.forbidden()
+	return s != nil && !s.currentNotice().forbids(t.clock.Now())
 }
 
 // Eligible reports whether a candidate may handle a request with the given requirements.
--- a/internal/chivehillupstream/types.go
+++ b/internal/chivehillupstream/types.go
@@ -54,6 +54,8 @@
 	RateLimit RequestsPerSecond
 	// Leaving is set if the server says that it leaves and must get no new requests.
 	Leaving bool
+	// Quiet is for how long the server wants nothing from this host; 0 if it does not say.
+	Quiet chivehillclock.Millis
 }
 
 // HeaderParser parses the response headers that are meant for the gateway.
