fix: a silent watch is renewed once the store is known to have moved on

Cause: a watch that is silent was taken to say that nothing had changed, for up to 20 s. Only the watch of the configuration is short. Its failure ended the other watches, its 410 or its success did not.

Ruled out: an old list (there was none), a digest taken as equal in the relay (both watching hosts lacked the change).

Change: an answer for one collection renews the watches of those that are not known up to its revision and have been silent for 1 s (servers), 2 s (withdrawals), 4 s (hosts), once for a revision. A history that is gone renews all others at once. The stand-in store can leave watches mute.

Why it works: whatever changes raises the revision, which the watch of the configuration states every 1.5 s; a renewed watch is on a new connection and starts from the revision that is known.

Seen failing before: TestMuteWatchIsTrustedAlthoughTheStoreMovedOn (two rows), TestWithdrawalIsMissedWhileWatchesAreMute (18 to 21 of 40 requests reached the failure domain in each of three rows).

--- a/internal/chivehillwatcher/watcher.go
+++ b/internal/chivehillwatcher/watcher.go
@@ -68,9 +68,10 @@
 	// page of any of them last arrived, or when the first of them started.
 	listsInFlight  int
 	listProgressAt chivehillclock.Millis
-	// cancelWatch cancels the current watch of each collection, for use when the
-	// connections seem to be dead.
-	cancelWatch map[chivehillcatalog.Collection]context.CancelFunc
+	// watches holds the watch of each collection that waits for the store's answer.
+	watches map[chivehillcatalog.Collection]waitingWatch
+	// renewedAt is the revision for which the watch of each collection was last renewed.
+	renewedAt map[chivehillcatalog.Collection]chivehillcatalog.Revision
 	// era is the highest era in an answer of the store.
 	era chivehillcatalog.Era
 }
@@ -172,11 +173,14 @@
 			continue
 		case errors.Is(err, ErrHistoryGone):
 			w.Log.Info().Str("collection", string(c)).Msg("watcher: watch history is no longer available; listing again.")
+			w.renewOthers(c)
 			if relisted {
 				w.waitToRetry(ctx, retry.NextBackOff())
 			}
 			list, relisted = true, true
 			continue
+		case errors.Is(err, errWatchRenewed):
+			continue
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, context.Canceled):
@@ -211,16 +215,14 @@
 	if c == chivehillcatalog.Configurations {
 		wait = configurationWatchWait
 	}
-	ctx, cancel := context.WithTimeout(ctx, (wait + watchSlack).Duration())
-	defer cancel()
-	w.setCancelWatch(c, cancel)
-	update, err := w.Store.Watch(ctx, c, since, wait)
+	update, err := w.watch(ctx, c, since, wait)
 	w.countCall("watch", err)
 	if err != nil {
 		return err
 	}
 	w.recordContact(c)
 	w.apply(c, update)
+	w.renewBehind(c, update.AsOf)
 	if len(update.Records) > 0 && c != chivehillcatalog.Configurations && c != chivehillcatalog.Withdrawals {
 		time.Sleep(coalesceDelay)
 	}
@@ -244,6 +246,7 @@
 	}
 	w.recordContact(c)
 	w.apply(c, update)
+	w.renewBehind(c, update.AsOf)
 	return nil
 }
 
@@ -270,21 +273,15 @@
 
 func (w *Watcher) countCall(operation string, err error) {
 	result := "ok"
-	if err != nil {
+	switch {
+	case errors.Is(err, errWatchRenewed):
+		result = "renewed"
+	case err != nil:
 		result = "failed"
 	}
 	w.Metrics.StoreCalls.WithLabelValues(operation, result).Inc()
 }
 
-func (w *Watcher) setCancelWatch(c chivehillcatalog.Collection, cancel context.CancelFunc) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.cancelWatch == nil {
-		w.cancelWatch = make(map[chivehillcatalog.Collection]context.CancelFunc)
-	}
-	w.cancelWatch[c] = cancel
-}
-
 // recordContact records that the store answered a call.
 func (w *Watcher) recordContact(c chivehillcatalog.Collection) {
 	w.mu.Lock()
@@ -325,9 +322,9 @@
 	if c != chivehillcatalog.Configurations {
 		return
 	}
-	for other, cancel := range w.cancelWatch {
+	for other, e := range w.watches {
 		if other != c {
-			cancel()
+			e.cancel(nil)
 		}
 	}
 }
