fix: a repeated refusal of a health check refuses no other request

What callers saw: nothing was reported; a caller could be told "not run" for a request that its server runs, and a non-idempotent request could go to a second server.

Cause: a failure without an identifier was taken for the answer to whatever request waited on the connection. Health checks carry no identifier, so their refusals have none either, and they share the connections of requests. A server that writes such a refusal once more when the next request arrives refused that one.

Evidence: the test; the request got the 503 of the health check before it, although the server answered it 10 ms later.

Ruled out: repeated refusals and answers of requests (two rows; they bear identifiers), repeated good health checks.

Change: a failure without an identifier counts only on a connection that has carried no other request; on a kept one it is skipped like a stale response. The fuzzer asserts it for all statuses.

Why it works: servers echo the identifier, so the true answer to a request bears it; what bears none on a kept connection belongs to an earlier exchange, or to nobody.

Seen failing before: TestEarlierResponseIsTakenForThatOfTheNextRequest, row "refused health check" (503 instead of 200).

Measured: the tests of chivehillupstream and the gateway; FuzzAnswers for 10 s.

--- a/internal/chivehillupstream/conn.go
+++ b/internal/chivehillupstream/conn.go
@@ -42,6 +42,9 @@
 	bound      *headBound
 	memory     *Memory
 	lastUsedAt time.Time
+	// kept is set once the connection has carried a request. Failures without an identifier
+	// may belong to that one from then on.
+	kept bool
 	// idleTimeout is how long the server keeps the connection open while it is idle.
 	idleTimeout time.Duration
 }
@@ -126,7 +129,7 @@
 	if !c.finishWrite(written) {
 		reusable = false
 	}
-	c.lastUsedAt = time.Now()
+	c.lastUsedAt, c.kept = time.Now(), true
 	return response, reusable && stop(), nil
 }
 
@@ -172,7 +175,8 @@
 }
 
 // readResponse reads the response to a request. It skips stale responses, which
-// belong to earlier requests.
+// belong to earlier requests. A failure without an identifier belongs to the request only
+// if the connection has carried no other one.
 func (c *conn) readResponse(r *Request, parser HeaderParser) (Response, bool, error) {
 	for range maxStaleResponses {
 		response, reusable, err := c.readNext(r, parser)
@@ -180,7 +184,7 @@
 			return response, false, err
 		}
 		id := response.Metadata.RequestID
-		if id == r.ID || (id == "" && !response.Succeeded()) {
+		if id == r.ID || id == "" && !response.Succeeded() && !c.kept {
 			return response, reusable, nil
 		}
 		if !reusable {
--- a/internal/chivehillupstream/conn_test.go
+++ b/internal/chivehillupstream/conn_test.go
@@ -126,6 +126,42 @@
 	qt.Assert(t, pool.Dialed() >= 2, qt.IsTrue)
 }
 
+// TestEarlierResponseIsTakenForThatOfTheNextRequest sends a health check and a request on one
+// connection. The server repeats an earlier response when the request arrives, and answers the
+// request later.
+func TestEarlierResponseIsTakenForThatOfTheNextRequest(t *testing.T) {
+	refusal := "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+	tests := []struct {
+		about    string
+		repeated string
+	}{
+		{"refused health check", refusal},
+		{"refused request", "HTTP/1.1 503 Busy\r\nId: old\r\nContent-Length: 0\r\n\r\n"},
+		{"served request", completeResponse("old", "late")},
+		{"served health check", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"},
+	}
+	for _, tt := range tests {
+		pool := serve(t, func(c net.Conn, n int, _ *http.Request) {
+			if n == 0 {
+				_, _ = io.WriteString(c, refusal)
+				return
+			}
+			_, _ = io.WriteString(c, tt.repeated)
+			time.Sleep(10 * time.Millisecond)
+			_, _ = io.WriteString(c, completeResponse("a", "body"))
+		})
+		lease, err := pool.Take(t.Context(), 1000)
+		qt.Assert(t, err, qt.IsNil)
+		_, usable, err := lease.Probe(t.Context(), "/health", "h")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, usable, qt.IsTrue)
+		response, _, err := lease.Do(t.Context(), request("a"))
+		qt.Check(t, err, qt.IsNil, qt.Commentf("%s", tt.about))
+		qt.Check(t, response.Status, qt.Equals, 200, qt.Commentf("%s", tt.about))
+		qt.Check(t, string(response.Body), qt.Equals, "body", qt.Commentf("%s", tt.about))
+	}
+}
+
 func TestTimeoutAndDialFailureAreDistinguished(t *testing.T) {
 	pool := serve(t, func(net.Conn, int, *http.Request) {})
 	lease, err := pool.Take(t.Context(), 1000)
@@ -185,6 +221,8 @@
 	f.Add([]byte(completeResponse("a", "body")))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nId: a\r\n\r\n4\r\nbody\r\n0\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n" + completeResponse("a", "body")))
+	f.Add([]byte("HTTP/1.1 503 Busy\r\nId: old\r\nContent-Length: 0\r\n\r\n" + completeResponse("a", "body")[:40]))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		client, server := net.Pipe()
 		defer func() { _ = client.Close() }()
@@ -193,8 +231,9 @@
 			_ = server.Close()
 		}()
 		c := newConn(client, NewMemory(maxResponseBytes))
+		c.kept = true
 		response, _, err := c.readResponse(request("a"), idParser{})
-		if err == nil && response.Succeeded() && response.Metadata.RequestID != "a" {
+		if err == nil && response.Metadata.RequestID != "a" {
 			t.Fatalf("returned the response to request %q, want one to request a", response.Metadata.RequestID)
 		}
 	})
