fix: a busy failure domain uses the room of the others of its region

Cause: a request's six candidates were taken by distance. With 50 servers of a service in a failure domain all six lie in it, and the next candidates were those of the other region. With the 5 of a small deployment the list reaches the region's other failure domains by itself.

Ruled out: no room in the region (its other failure domains have less load at the same time; the model below).

Change: Spread takes the last third of the candidates from the region's other failure domains, if there are such; the polls of queued requests do the same. InRegion stays for what needs the plain order.

Why it works: the first two rounds of health checks stay in the failure domain, so nothing changes while it has room; the third looks where there is room before the request crosses or waits.

Seen failing before: TestBusyDomainLeavesTheRegionIdle, a load of 1.1 times the slots of one failure domain beside one at a quarter: 42.7 % of 13,696 requests waited for a slot; now 0.0 %. TestManyServersOfTheDomainHideThoseBesideIt.

--- a/internal/chivehillgateway/choose.go
+++ b/internal/chivehillgateway/choose.go
@@ -51,7 +51,7 @@
 // of this region is expected to answer early enough.
 func (g *Gateway) choose(ctx context.Context, c *call) *choice {
 	requirements := c.requirements()
-	inRegion := g.Table.InRegion(requirements, regionalRounds*probesPerRound)
+	inRegion := g.Table.Spread(requirements, regionalRounds*probesPerRound)
 	if recent := g.recentlyGood(c, inRegion); recent != nil {
 		return recent
 	}
--- a/internal/chivehillgateway/wait.go
+++ b/internal/chivehillgateway/wait.go
@@ -139,7 +139,7 @@
 			queue.GiveUp(g.allQuiet)
 			continue
 		}
-		candidates := g.Table.InRegion(requirements, probesPerRound)
+		candidates := g.Table.Spread(requirements, probesPerRound)
 		candidates = append(candidates, g.Table.InOtherRegions(requirements, probesPerRound-len(candidates))...)
 		for _, candidate := range candidates {
 			go g.probeForCapacity(healthPath, candidate)
