fix: the estimate learns how long servers stay slow

Cause: a slow pace was taken to last 150 ms. A request of 460 ms at a server five times as slow was estimated at 580 ms, less than one at a server with three of four slots busy.

Requests at a pace of 500 took 3.6 times their usual time in the median.

Ruled out: slow servers that do not say so (the median of a server's ratio to the usual time is 0.7 to 1.9).

Change: the table learns the mean time from each report of a server that was slow at its last one, by expectation and maximisation: the time itself if it still is, else the mean part of it. The estimate adds what a request loses on average. NewAssessment became Table.Assess.

Why it works: a host sees the pace when it chooses and again with the response, so every request to a slow server is an observation; deployments whose servers recover at once are learnt as such.

--- a/internal/chivehillgateway/choose.go
+++ b/internal/chivehillgateway/choose.go
@@ -122,7 +122,7 @@
 		if !fresh {
 			continue
 		}
-		assessment := chivehillselector.NewAssessment(candidate, chivehillupstream.ResponseMetadata{Load: load, HasLoad: true}, c.serviceTime)
+		assessment := g.Table.Assess(candidate, chivehillupstream.ResponseMetadata{Load: load, HasLoad: true}, c.serviceTime)
 		if assessment.GoodEnough() {
 			return &choice{assessment: assessment}
 		}
@@ -226,7 +226,7 @@
 	} else {
 		g.Table.RecordProbe(candidate.ID(), healthy, chivehillselector.Served{Metadata: metadata})
 	}
-	chosen := &choice{assessment: chivehillselector.NewAssessment(candidate, metadata, serviceTime)}
+	chosen := &choice{assessment: g.Table.Assess(candidate, metadata, serviceTime)}
 	if usable {
 		chosen.lease = lease
 	}
--- a/internal/chivehillgateway/wait.go
+++ b/internal/chivehillgateway/wait.go
@@ -112,7 +112,7 @@
 		return nil
 	}
 	load, _ := g.Table.RecentLoad(assigned.ID(), chivehillselector.MaxFreshLoadAge)
-	return &choice{assessment: chivehillselector.NewAssessment(assigned, chivehillupstream.ResponseMetadata{Load: load, HasLoad: load.Slots > 0}, c.serviceTime)}
+	return &choice{assessment: g.Table.Assess(assigned, chivehillupstream.ResponseMetadata{Load: load, HasLoad: load.Slots > 0}, c.serviceTime)}
 }
 
 // offerCapacity assigns a server to a queued request if the server has spare
--- a/internal/chivehillselector/estimate.go
+++ b/internal/chivehillselector/estimate.go
@@ -1,6 +1,8 @@
 package chivehillselector
 
 import (
+	"math"
+
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 	"github.com/chivehill/chivehill/internal/chivehillupstream"
 )
@@ -14,8 +16,6 @@
 	fullFactor = 1.7
 	// queueFactor is how many times longer than usual the queued requests take on average.
 	queueFactor = 1.3
-	// pacePersistence is how long a reported pace lasts on average.
-	pacePersistence = 150 * chivehillclock.Millisecond
 	// goodEnoughFactor is the estimate, as a multiple of the service time, up to which no
 	// other server is probed.
 	goodEnoughFactor = 1.25
@@ -26,8 +26,9 @@
 )
 
 // Estimate returns the expected response time of a request at a server with the given
-// load. serviceTime is how long the request runs on an idle server at its usual pace.
-func Estimate(l chivehillupstream.Load, serviceTime chivehillclock.Millis) chivehillclock.Millis {
+// load. serviceTime is how long the request runs on an idle server at its usual pace, and
+// persistence is how long servers stay slow on average.
+func Estimate(l chivehillupstream.Load, serviceTime, persistence chivehillclock.Millis) chivehillclock.Millis {
 	slots := chivehillclock.Millis(max(1, l.Slots))
 	busy := chivehillclock.Millis(l.Running + l.Waiting + 1)
 	run := serviceTime
@@ -35,18 +36,19 @@
 		run *= highUtilizationFactor
 	}
 	wait := max(0, busy-slots) / slots * serviceTime * queueFactor
-	return wait + run + slowdown(l.Pace, serviceTime)
+	return wait + run + slowdown(l.Pace, serviceTime, persistence)
 }
 
-// slowdown returns the time that the reported pace adds to a request. The pace is
-// expected to last for pacePersistence only. By its end, pacePersistence/factor of work
-// is done, so that a request loses at most pacePersistence*(1-1/factor).
-func slowdown(pace chivehillupstream.Percent, serviceTime chivehillclock.Millis) chivehillclock.Millis {
+// slowdown returns the time that the reported pace adds to a request on average. The pace
+// lasts for an exponentially distributed time with the mean persistence, of which a request
+// loses the part 1-1/factor, for as long as it runs.
+func slowdown(pace chivehillupstream.Percent, serviceTime, persistence chivehillclock.Millis) chivehillclock.Millis {
 	factor := chivehillclock.Millis(pace) / chivehillclock.Millis(chivehillupstream.UsualPace)
 	if factor <= 1 {
 		return 0
 	}
-	return min(serviceTime*(factor-1), pacePersistence*(1-1/factor))
+	slowTime := -persistence * chivehillclock.Millis(math.Expm1(float64(-serviceTime*factor/persistence)))
+	return slowTime * (1 - 1/factor)
 }
 
 // Assessment is a candidate with the load it reported and the response time
@@ -61,14 +63,14 @@
 	Load        chivehillupstream.Load
 }
 
-// NewAssessment estimates the response time at a candidate from the load it reported. A
-// candidate that reported none is taken to be idle.
-func NewAssessment(c Candidate, r chivehillupstream.ResponseMetadata, serviceTime chivehillclock.Millis) Assessment {
+// Assess estimates the response time at a candidate from the load it reported. A candidate
+// that reported none is taken to be idle.
+func (t *Table) Assess(c Candidate, r chivehillupstream.ResponseMetadata, serviceTime chivehillclock.Millis) Assessment {
 	load := r.Load
 	if !r.HasLoad {
 		load = chivehillupstream.Load{Slots: c.Server.Slots, Pace: chivehillupstream.UsualPace}
 	}
-	estimate := Estimate(load, serviceTime)
+	estimate := Estimate(load, serviceTime, t.persistence.mean())
 	if c.Cold {
 		estimate *= coldFactor
 	}
--- a/internal/chivehillselector/load_test.go
+++ b/internal/chivehillselector/load_test.go
@@ -90,7 +90,7 @@
 		metadata := chivehillupstream.ResponseMetadata{Load: sim.load(c.ID()), HasLoad: true}
 		h.table.RecordProbe(c.ID(), true, Served{Metadata: metadata})
 		sim.release(h, c.ID())
-		if assessment := NewAssessment(c, metadata, simServiceTime); i == 0 || assessment.Estimate < best.Estimate {
+		if assessment := h.table.Assess(c, metadata, simServiceTime); i == 0 || assessment.Estimate < best.Estimate {
 			best = assessment
 		}
 	}
--- a/internal/chivehillselector/outcome.go
+++ b/internal/chivehillselector/outcome.go
@@ -95,11 +95,11 @@
 	defer s.mu.Unlock()
 	switch o := o.(type) {
 	case Served:
-		s.recordResponse(now, o.Metadata)
+		t.recordResponse(now, s, o.Metadata)
 		t.recordRateLimit(id, s, o.Metadata, from)
 		s.recordSuccess()
 	case Refused:
-		s.recordResponse(now, o.Metadata)
+		t.recordResponse(now, s, o.Metadata)
 		t.recordRateLimit(id, s, o.Metadata, from)
 		s.refusedUntil = now + refusalPenaltyTime
 	case Failed:
@@ -129,8 +129,9 @@
 	s.rateLimit = r.RateLimit
 }
 
-// recordResponse stores the load and the cold time that a response reports.
-func (s *serverState) recordResponse(now chivehillclock.Millis, r chivehillupstream.ResponseMetadata) {
+// recordResponse stores the load and the cold time that a response reports. The caller must
+// hold the server's lock.
+func (t *Table) recordResponse(now chivehillclock.Millis, s *serverState, r chivehillupstream.ResponseMetadata) {
 	s.lastResponseAt, s.hasResponded, s.newlyAvailable = now, true, false
 	if r.ColdRemaining > 0 {
 		s.coldUntil = max(s.coldUntil, now+r.ColdRemaining)
@@ -138,5 +139,8 @@
 	if !r.HasLoad {
 		return
 	}
+	if s.hasLoad && s.load.Pace >= slowPace {
+		t.persistence.observe(now-s.loadAt, r.Load.Pace)
+	}
 	s.load, s.loadAt, s.hasLoad = r.Load, now, true
 }
--- a/internal/chivehillselector/selector_test.go
+++ b/internal/chivehillselector/selector_test.go
@@ -239,17 +239,21 @@
 }
 
 func TestEstimateGrowsWithLoadAndPace(t *testing.T) {
-	const serviceTime = 100 * chivehillclock.Millisecond
+	const (
+		serviceTime = 100 * chivehillclock.Millisecond
+		// briefly is how long servers stay slow in this test.
+		briefly = 150 * chivehillclock.Millisecond
+	)
 	load := func(running, waiting int, pace chivehillupstream.Percent) chivehillupstream.Load {
 		return chivehillupstream.Load{Running: running, Waiting: waiting, Slots: 4, Pace: pace}
 	}
 	rising := []chivehillupstream.Load{load(0, 0, 100), load(3, 0, 100), load(4, 0, 100), load(4, 2, 100), load(4, 8, 100)}
 	for i := 1; i < len(rising); i++ {
-		qt.Check(t, Estimate(rising[i], serviceTime) > Estimate(rising[i-1], serviceTime), qt.IsTrue, qt.Commentf("%+v", rising[i]))
+		qt.Check(t, Estimate(rising[i], serviceTime, briefly) > Estimate(rising[i-1], serviceTime, briefly), qt.IsTrue, qt.Commentf("%+v", rising[i]))
 	}
-	qt.Assert(t, Estimate(load(0, 0, 100), serviceTime), qt.Equals, serviceTime)
-	qt.Assert(t, Estimate(load(0, 0, 500), serviceTime) > 2*serviceTime, qt.IsTrue)
-	qt.Assert(t, Estimate(load(0, 0, 500), 10*serviceTime) < 2*10*serviceTime, qt.IsTrue)
+	qt.Assert(t, Estimate(load(0, 0, 100), serviceTime, briefly), qt.Equals, serviceTime)
+	qt.Assert(t, Estimate(load(0, 0, 500), serviceTime, briefly) > 2*serviceTime, qt.IsTrue)
+	qt.Assert(t, Estimate(load(0, 0, 500), 10*serviceTime, briefly) < 2*10*serviceTime, qt.IsTrue)
 }
 
 func TestHasCapacityBelowMaxThroughput(t *testing.T) {
--- a/internal/chivehillselector/spread_test.go
+++ b/internal/chivehillselector/spread_test.go
@@ -102,7 +102,7 @@
 			if best != nil && best.GoodEnough() {
 				break
 			}
-			a := NewAssessment(c, chivehillupstream.ResponseMetadata{Load: load(c.ID()), HasLoad: true}, work)
+			a := f.table.Assess(c, chivehillupstream.ResponseMetadata{Load: load(c.ID()), HasLoad: true}, work)
 			f.table.RecordProbe(c.ID(), true, Served{Metadata: chivehillupstream.ResponseMetadata{Load: load(c.ID()), HasLoad: true}})
 			if best == nil || a.Estimate < best.Estimate {
 				best = &a
--- a/internal/chivehillselector/table.go
+++ b/internal/chivehillselector/table.go
@@ -54,8 +54,9 @@
 	share    Share
 	log      zerolog.Logger
 
-	// notices has its own lock.
-	notices notices
+	// notices and persistence have their own locks.
+	notices     notices
+	persistence *persistence
 
 	mu      sync.RWMutex
 	servers map[chivehillid.ServerID]*serverState
@@ -69,7 +70,7 @@
 func NewTable(location Location, clock *chivehillclock.Clock, share Share, log zerolog.Logger) *Table {
 	return &Table{
 		location: location, clock: clock, share: share, log: log, servers: make(map[chivehillid.ServerID]*serverState),
-		notices: notices{byInstance: make(map[chivehillcatalog.Instance]*notice)},
+		notices: notices{byInstance: make(map[chivehillcatalog.Instance]*notice)}, persistence: newPersistence(),
 	}
 }
 
