--- a/internal/chivehillcatalog/catalog.go
+++ b/internal/chivehillcatalog/catalog.go
@@ -30,6 +30,9 @@
 	Log     zerolog.Logger
 	// OnChange is called after each update that changed a collection, without locks held.
 	OnChange func(Collection)
+	// OnIgnored is called for each record that cannot be decoded, with the lock of its
+	// collection held.
+	OnIgnored func(Collection)
 	// OnCopied is called, without locks held, when the store came back from a copy in an era
 	// and a collection holds records that the copy lacks. Settle is to be called once their
 	// writers had time to write them again.
@@ -239,6 +242,7 @@
 		}
 		configuration, err := c.Decoder.Configuration(e.record)
 		if err != nil {
+			c.countIgnored(Configurations)
 			c.Log.Error().Str("step", "decode-configuration").Str("name", e.record.Name).
 				Uint64("revision", uint64(e.record.Revision)).Err(err).Msg("catalog: configuration could not be decoded; the current one stays in force.")
 			continue
@@ -254,6 +258,12 @@
 	}
 }
 
+func (c *Catalog) countIgnored(name Collection) {
+	if c.OnIgnored != nil {
+		c.OnIgnored(name)
+	}
+}
+
 // hasOlderVersion reports whether a configuration has a lower version than another one.
 // One that cannot be decoded has none.
 func (c *Catalog) hasOlderVersion(a, b Record) bool {
@@ -291,6 +301,7 @@
 		}
 		value, err := decode(e.record)
 		if err != nil {
+			c.countIgnored(name)
 			c.Log.Warn().Str("step", "decode").Str("collection", string(name)).Str("name", e.record.Name).
 				Uint64("revision", uint64(e.record.Revision)).Err(err).Msg("catalog: record could not be decoded and is ignored.")
 			continue
--- a/internal/chivehillhost/host.go
+++ b/internal/chivehillhost/host.go
@@ -116,7 +116,7 @@
 	h.bounds.Store(&s.Bounds)
 	location := chivehillselector.Location{Domain: s.FailureDomain, Region: s.Region, Regions: s.Domains}
 	h.table = chivehillselector.NewTable(location, h.clock, h.share, log)
-	h.catalog = chivehillcatalog.New(chivehillcatalog.Options{Decoder: p.Decoder, Log: log, OnChange: h.onCatalogChange, OnCopied: h.onCopied})
+	h.catalog = chivehillcatalog.New(chivehillcatalog.Options{Decoder: p.Decoder, Log: log, OnChange: h.onCatalogChange, OnCopied: h.onCopied, OnIgnored: h.countIgnored})
 	h.watchCtx, h.cancelWatch = context.WithCancel(context.Background())
 	h.watcher = &chivehillwatcher.Watcher{Store: p.Store, Catalog: h.catalog, Clock: h.clock, Metrics: h.metrics, Log: log}
 	h.suspects = chivehillsuspect.New()
@@ -235,6 +235,10 @@
 	}
 }
 
+func (h *Host) countIgnored(c chivehillcatalog.Collection) {
+	h.metrics.RecordsIgnored.WithLabelValues(string(c)).Inc()
+}
+
 // onCopied gives up what the store has lost, unless its writers write it again in time.
 func (h *Host) onCopied(c chivehillcatalog.Collection, era chivehillcatalog.Era) {
 	time.AfterFunc(settleDelay.Duration(), func() { h.relay.Publish(c, h.catalog.Settle(c, era)) })
--- a/internal/chivehillmetrics/gateway.go
+++ b/internal/chivehillmetrics/gateway.go
@@ -28,6 +28,8 @@
 	Seconds *prometheus.HistogramVec
 	// Version is the version of the configuration in force.
 	Version prometheus.Gauge
+	// RecordsIgnored counts records of the catalog that could not be decoded, by collection.
+	RecordsIgnored *prometheus.CounterVec
 	// LogDropped counts log lines dropped because the sink was too slow.
 	LogDropped prometheus.Counter
 	// Down is the number of hosts that the directory leaves out because they are
@@ -49,11 +51,13 @@
 // so that its rate is defined before it first happens.
 func NewGateway() *Gateway {
 	m := &Gateway{
-		Registry:   prometheus.NewRegistry(),
-		Requests:   counterVec("requests_total", "Answered requests.", "route", "outcome"),
-		Refusals:   counterVec("refusals_total", "Refused requests.", "reason", "outcome"),
-		Retries:    counterVec("retries_total", "Further attempts of a request.", "reason"),
-		Probes:     counterVec("probes_total", "Health probes.", "result"),
+		Registry:       prometheus.NewRegistry(),
+		Requests:       counterVec("requests_total", "Answered requests.", "route", "outcome"),
+		Refusals:       counterVec("refusals_total", "Refused requests.", "reason", "outcome"),
+		Retries:        counterVec("retries_total", "Further attempts of a request.", "reason"),
+		Probes:         counterVec("probes_total", "Health probes.", "result"),
+		RecordsIgnored: counterVec("records_ignored_total", "Records of the catalog that could not be decoded.", "collection"),
+
 		StoreCalls: counterVec("store_calls_total", "Calls to the store.", "operation", "result"),
 		Seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: "chivehill", Name: "request_seconds", Help: "Time from arrival to answer.", Buckets: secondsBuckets,
@@ -68,7 +72,7 @@
 		Quiet:       gauge("servers_quiet", "Listed servers that want nothing from this host for now."),
 		Leaves:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: "chivehill", Name: "server_leaves_total", Help: "Servers that were first heard to leave by this host."}),
 	}
-	m.Registry.MustRegister(m.Requests, m.Refusals, m.Retries, m.Probes, m.StoreCalls, m.Seconds, m.Version, m.LogDropped, m.Down, m.Watching, m.RateLimited, m.Leaving, m.Quiet, m.Leaves,
+	m.Registry.MustRegister(m.Requests, m.Refusals, m.Retries, m.Probes, m.StoreCalls, m.RecordsIgnored, m.Seconds, m.Version, m.LogDropped, m.Down, m.Watching, m.RateLimited, m.Leaving, m.Quiet, m.Leaves,
 		collectors.NewGoCollector())
 	for _, r := range chivehillreason.Refusals {
 		m.Refusals.WithLabelValues(string(r), string(chivehillreason.NotRun))
