refactor: one type bounds the memory of request and response bodies

Cause: the front's reservation for request bodies and the reservation for response bodies were the same logic twice. Change: chivehillbudget.Memory serves both; names follow (Server.BodyMemory). No behaviour is touched. Measured: the tests of the front, upstream and gateway, which read the reserved bytes, pass with the same assertions.

--- a/internal/chivehillbudget/bucket.go
+++ b/internal/chivehillbudget/bucket.go
@@ -1,4 +1,5 @@
-// Package chivehillbudget limits rates with token buckets. Callers pass in the time.
+// Package chivehillbudget limits rates, with token buckets, and memory. Callers pass in the
+// time.
 package chivehillbudget
 
 import (
--- a/internal/chivehillfront/body.go
+++ b/internal/chivehillfront/body.go
@@ -49,7 +49,7 @@
 func (c *conn) readWithinLimits(body io.Reader, limit int64) ([]byte, error) {
 	data, err := c.readReserving(body, limit)
 	if err != nil {
-		c.server.buffered.Add(-int64(len(data)))
+		c.server.BodyMemory.Release(int64(len(data)))
 		return nil, err
 	}
 	return data, nil
@@ -64,7 +64,7 @@
 		if int64(len(data)+n) > limit {
 			return data, errBodyTooLarge
 		}
-		if !c.server.reserve(int64(n)) {
+		if !c.server.BodyMemory.Reserve(int64(n)) {
 			return data, errBodyMemory
 		}
 		data = append(data, buffer[:n]...)
--- a/internal/chivehillfront/body_test.go
+++ b/internal/chivehillfront/body_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"github.com/chivehill/chivehill/internal/chivehillbudget"
 	"github.com/chivehill/chivehill/internal/chivehillcatalog"
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 	"github.com/chivehill/chivehill/internal/chivehillid"
@@ -34,7 +35,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	s = &Server{
-		Handler: bodySizeHandler{}, Clock: chivehillclock.New(), Log: zerolog.Nop(), MaxBodyMemory: maxBodyMemory,
+		Handler: bodySizeHandler{}, Clock: chivehillclock.New(), Log: zerolog.Nop(), BodyMemory: chivehillbudget.NewMemory(maxBodyMemory),
 		Limits: func() chivehillcatalog.Limits {
 			return chivehillcatalog.Limits{HeaderBytes: 4 << 10, BodyBytes: bodyLimit, HeaderTimeout: 300, IdleTimeout: 5000}
 		},
@@ -91,7 +92,7 @@
 		qt.Check(t, response.StatusCode, qt.Equals, tt.status, qt.Commentf("%s", tt.name))
 		_ = response.Body.Close()
 		_ = c.Close()
-		waitUntil(t, tt.name, func() bool { return s.buffered.Load() == 0 })
+		waitUntil(t, tt.name, func() bool { return s.BodyMemory.Used() == 0 })
 	}
 }
 
@@ -109,7 +110,7 @@
 		_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 500000\r\n\r\n"+strings.Repeat("x", sentBytes))
 		qt.Assert(t, err, qt.IsNil)
 	}
-	waitUntil(t, "memory is reserved for both bodies", func() bool { return s.buffered.Load() > sentBytes })
+	waitUntil(t, "memory is reserved for both bodies", func() bool { return s.BodyMemory.Used() > sentBytes })
 	refused, err := net.Dial("tcp", address)
 	qt.Assert(t, err, qt.IsNil)
 	defer func() { _ = refused.Close() }()
@@ -122,7 +123,7 @@
 	for _, c := range conns {
 		_ = c.Close()
 	}
-	waitUntil(t, "all memory is released", func() bool { return s.buffered.Load() == 0 })
+	waitUntil(t, "all memory is released", func() bool { return s.BodyMemory.Used() == 0 })
 }
 
 func waitUntil(t *testing.T, name string, condition func() bool) {
--- a/internal/chivehillfront/conn.go
+++ b/internal/chivehillfront/conn.go
@@ -72,7 +72,7 @@
 	closeAfter bool
 	// refusal is set if the request was refused while it was read.
 	refusal bool
-	// reserved is the size of the request body, reserved in Server.buffered.
+	// reserved is the size of the request body, reserved in Server.BodyMemory.
 	reserved int64
 	http10   bool
 	headOnly bool
@@ -117,7 +117,7 @@
 		select {
 		case c.queue <- e:
 		case <-c.ctx.Done():
-			c.server.buffered.Add(-e.reserved)
+			c.server.BodyMemory.Release(e.reserved)
 			return
 		}
 		if e.closeAfter {
--- a/internal/chivehillfront/server.go
+++ b/internal/chivehillfront/server.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
+	"github.com/chivehill/chivehill/internal/chivehillbudget"
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 )
 
@@ -24,12 +25,11 @@
 	Limits  Limits
 	Clock   *chivehillclock.Clock
 	Log     zerolog.Logger
-	// MaxBodyMemory limits the total size of the request bodies in memory, in bytes.
-	MaxBodyMemory int64
+	// BodyMemory limits the total size of the request bodies in memory.
+	BodyMemory *chivehillbudget.Memory
 
-	buffered atomic.Int64
-	closing  atomic.Bool
-	conns    conc.WaitGroup
+	closing atomic.Bool
+	conns   conc.WaitGroup
 
 	mu        sync.Mutex
 	openConns map[*conn]struct{}
@@ -67,16 +67,6 @@
 	})
 }
 
-// reserve reserves memory for a request body and reports whether MaxBodyMemory
-// allows it.
-func (s *Server) reserve(bytes int64) bool {
-	if s.buffered.Add(bytes) <= s.MaxBodyMemory {
-		return true
-	}
-	s.buffered.Add(-bytes)
-	return false
-}
-
 // CloseAfterResponse closes each connection after its next response. Connections are still
 // accepted.
 func (s *Server) CloseAfterResponse() {
--- a/internal/chivehillfront/write.go
+++ b/internal/chivehillfront/write.go
@@ -40,7 +40,7 @@
 		if !ended {
 			ended = !c.writeResponse(e)
 		}
-		c.server.buffered.Add(-e.reserved)
+		c.server.BodyMemory.Release(e.reserved)
 		close(e.written)
 		c.mu.Lock()
 		c.pending--
--- a/internal/chivehillgateway/pools.go
+++ b/internal/chivehillgateway/pools.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/chivehill/chivehill/internal/chivehillbudget"
 	"github.com/chivehill/chivehill/internal/chivehillcatalog"
 	"github.com/chivehill/chivehill/internal/chivehillid"
 	"github.com/chivehill/chivehill/internal/chivehillupstream"
@@ -11,7 +12,7 @@
 // Pools holds a connection pool for each server. It is safe for concurrent use.
 type Pools struct {
 	parser chivehillupstream.HeaderParser
-	memory *chivehillupstream.Memory
+	memory *chivehillbudget.Memory
 
 	mu    sync.Mutex
 	pools map[chivehillid.ServerID]*serverPool
@@ -25,7 +26,7 @@
 // NewPools returns a Pools without connections. maxBodyMemory limits the response bodies
 // that are being read, in bytes.
 func NewPools(parser chivehillupstream.HeaderParser, maxBodyMemory int64) *Pools {
-	return &Pools{parser: parser, memory: chivehillupstream.NewMemory(maxBodyMemory), pools: make(map[chivehillid.ServerID]*serverPool)}
+	return &Pools{parser: parser, memory: chivehillbudget.NewMemory(maxBodyMemory), pools: make(map[chivehillid.ServerID]*serverPool)}
 }
 
 // Get returns the connection pool of a server. If the address of the server has
--- a/internal/chivehillhost/host.go
+++ b/internal/chivehillhost/host.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
+	"github.com/chivehill/chivehill/internal/chivehillbudget"
 	"github.com/chivehill/chivehill/internal/chivehillcatalog"
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 	"github.com/chivehill/chivehill/internal/chivehilldirectory"
@@ -132,7 +133,7 @@
 		Catalog: h, Table: h.table, Pools: h.pools, Budget: h.budget, Headers: p.Headers, Clock: h.clock, Metrics: h.metrics, Log: log,
 	})
 	h.front = &chivehillfront.Server{
-		Handler: gateway, Limits: h.limits, Clock: h.clock, Log: log, MaxBodyMemory: int64(s.MemoryMb * bytesPerMB * maxBufferedShare),
+		Handler: gateway, Limits: h.limits, Clock: h.clock, Log: log, BodyMemory: chivehillbudget.NewMemory(int64(s.MemoryMb * bytesPerMB * maxBufferedShare)),
 	}
 	return h
 }
--- a/internal/chivehillupstream/bounds.go
+++ b/internal/chivehillupstream/bounds.go
@@ -5,7 +5,8 @@
 	"fmt"
 	"io"
 	"math"
-	"sync/atomic"
+
+	"github.com/chivehill/chivehill/internal/chivehillbudget"
 )
 
 const (
@@ -19,28 +20,6 @@
 	freeBodyBytes = 64 << 10
 )
 
-// Memory limits the memory of all response bodies that are being read. It is safe for
-// concurrent use.
-type Memory struct {
-	limit int64
-	// used is the number of bytes reserved.
-	used atomic.Int64
-}
-
-// NewMemory returns a limit of so many bytes.
-func NewMemory(limit int64) *Memory { return &Memory{limit: limit} }
-
-// reserve reserves memory and reports whether the limit permits it.
-func (m *Memory) reserve(bytes int64) bool {
-	if m.used.Add(bytes) <= m.limit {
-		return true
-	}
-	m.used.Add(-bytes)
-	return false
-}
-
-func (m *Memory) release(bytes int64) { m.used.Add(-bytes) }
-
 // headBound bounds the bytes read from a connection while it reads the head of a response.
 type headBound struct {
 	io.Reader
@@ -63,7 +42,7 @@
 
 // readBody reads the body of a response. A body above maxResponseBytes, or one for which
 // there is no memory, makes the response invalid, since it could only be forwarded in part.
-func readBody(r io.Reader, memory *Memory) ([]byte, error) {
+func readBody(r io.Reader, memory *chivehillbudget.Memory) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(r, freeBodyBytes))
 	if err != nil {
 		return nil, fmt.Errorf("read response body: %w", err)
@@ -72,9 +51,9 @@
 		return body, nil
 	}
 	parts, reserved := [][]byte{body}, int64(0)
-	defer func() { memory.release(reserved) }()
+	defer func() { memory.Release(reserved) }()
 	for size := len(body); ; {
-		if !memory.reserve(freeBodyBytes) {
+		if !memory.Reserve(freeBodyBytes) {
 			return nil, fmt.Errorf("%w: no memory for a body of more than %d bytes", ErrInvalidResponse, size)
 		}
 		reserved += freeBodyBytes
--- a/internal/chivehillupstream/bounds_test.go
+++ b/internal/chivehillupstream/bounds_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/chivehill/chivehill/internal/chivehillbudget"
 )
 
 // socketBytes is more than the sockets of one connection on loopback hold.
@@ -49,7 +51,7 @@
 				}
 			}
 		})
-		pool.memory = NewMemory(memory)
+		pool.memory = chivehillbudget.NewMemory(memory)
 		lease, err := pool.Take(t.Context(), 1000)
 		qt.Assert(t, err, qt.IsNil)
 		_, usable, err := lease.Do(t.Context(), request("a"))
@@ -61,14 +63,14 @@
 			t.Fatalf("%s: connection still open", tt.name)
 		}
 		qt.Check(t, sent.Load() < tt.limit+socketBytes, qt.IsTrue, qt.Commentf("%s: %d bytes were read or buffered", tt.name, sent.Load()))
-		qt.Check(t, pool.memory.used.Load(), qt.Equals, int64(0), qt.Commentf("%s", tt.name))
+		qt.Check(t, pool.memory.Used(), qt.Equals, int64(0), qt.Commentf("%s", tt.name))
 	}
 }
 
 func TestUsualResponsesPassWhileBodiesWithoutEndUseUpTheMemory(t *testing.T) {
 	pool := serve(t, func(c net.Conn, _ int, _ *http.Request) { _, _ = io.WriteString(c, completeResponse("a", "body")) })
-	pool.memory = NewMemory(1 << 20)
-	qt.Assert(t, pool.memory.reserve(1<<20), qt.IsTrue)
+	pool.memory = chivehillbudget.NewMemory(1 << 20)
+	qt.Assert(t, pool.memory.Reserve(1<<20), qt.IsTrue)
 	lease, err := pool.Take(t.Context(), 1000)
 	qt.Assert(t, err, qt.IsNil)
 	response, _, err := lease.Do(t.Context(), request("a"))
@@ -78,9 +80,9 @@
 
 func TestLongBodyThatIsCutOffLooksComplete(t *testing.T) {
 	for _, size := range []int{freeBodyBytes - 1, freeBodyBytes, freeBodyBytes + 1, 2 * freeBodyBytes, 3*freeBodyBytes + 7} {
-		_, err := readBody(io.MultiReader(strings.NewReader(strings.Repeat("x", size)), cutOff{}), NewMemory(maxResponseBytes))
+		_, err := readBody(io.MultiReader(strings.NewReader(strings.Repeat("x", size)), cutOff{}), chivehillbudget.NewMemory(maxResponseBytes))
 		qt.Check(t, err, qt.ErrorIs, io.ErrUnexpectedEOF, qt.Commentf("%d bytes", size))
-		body, err := readBody(strings.NewReader(strings.Repeat("x", size)), NewMemory(maxResponseBytes))
+		body, err := readBody(strings.NewReader(strings.Repeat("x", size)), chivehillbudget.NewMemory(maxResponseBytes))
 		qt.Check(t, err, qt.IsNil, qt.Commentf("%d bytes", size))
 		qt.Check(t, body, qt.HasLen, size, qt.Commentf("%d bytes", size))
 	}
--- a/internal/chivehillupstream/conn.go
+++ b/internal/chivehillupstream/conn.go
@@ -13,6 +13,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/chivehill/chivehill/internal/chivehillbudget"
 )
 
 const (
@@ -40,7 +42,7 @@
 	net.Conn
 	reader     *bufio.Reader
 	bound      *headBound
-	memory     *Memory
+	memory     *chivehillbudget.Memory
 	lastUsedAt time.Time
 	// kept is set once the connection has carried a request. Failures without an identifier
 	// may belong to that one from then on.
@@ -49,14 +51,14 @@
 	idleTimeout time.Duration
 }
 
-func newConn(c net.Conn, memory *Memory) *conn {
+func newConn(c net.Conn, memory *chivehillbudget.Memory) *conn {
 	bound := &headBound{Reader: c}
 	bound.endHead()
 	return &conn{Conn: c, reader: bufio.NewReader(bound), bound: bound, memory: memory, idleTimeout: defaultIdleTimeout}
 }
 
 // dial opens a connection. Its errors wrap ErrNotSent.
-func dial(ctx context.Context, address string, timeout time.Duration, memory *Memory) (*conn, error) {
+func dial(ctx context.Context, address string, timeout time.Duration, memory *chivehillbudget.Memory) (*conn, error) {
 	dialer := net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
--- a/internal/chivehillupstream/conn_test.go
+++ b/internal/chivehillupstream/conn_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/chivehill/chivehill/internal/chivehillbudget"
 	"github.com/chivehill/chivehill/internal/chivehillid"
 )
 
@@ -49,7 +50,7 @@
 			}()
 		}
 	}()
-	return NewPool(l.Addr().String(), idParser{}, NewMemory(2*maxResponseBytes))
+	return NewPool(l.Addr().String(), idParser{}, chivehillbudget.NewMemory(2*maxResponseBytes))
 }
 
 func completeResponse(id, body string) string {
@@ -191,7 +192,7 @@
 		time.Sleep(200 * time.Millisecond)
 		_ = c.Close()
 	}()
-	pool := NewPool(l.Addr().String(), idParser{}, NewMemory(2*maxResponseBytes))
+	pool := NewPool(l.Addr().String(), idParser{}, chivehillbudget.NewMemory(2*maxResponseBytes))
 	lease, err := pool.Take(t.Context(), 1000)
 	qt.Assert(t, err, qt.IsNil)
 	r := request("a")
@@ -230,7 +231,7 @@
 			_, _ = server.Write(data)
 			_ = server.Close()
 		}()
-		c := newConn(client, NewMemory(maxResponseBytes))
+		c := newConn(client, chivehillbudget.NewMemory(maxResponseBytes))
 		c.kept = true
 		response, _, err := c.readResponse(request("a"), idParser{})
 		if err == nil && response.Metadata.RequestID != "a" {
--- a/internal/chivehillupstream/pool.go
+++ b/internal/chivehillupstream/pool.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/chivehill/chivehill/internal/chivehillbudget"
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 )
 
@@ -18,7 +19,7 @@
 	address string
 	parser  HeaderParser
 	// memory limits the response bodies of this pool and others.
-	memory *Memory
+	memory *chivehillbudget.Memory
 
 	mu sync.Mutex
 	// idle is ordered by time of last use. The most recently used one is taken first.
@@ -28,7 +29,7 @@
 }
 
 // NewPool returns an empty pool of connections to address. Pools share memory.
-func NewPool(address string, parser HeaderParser, memory *Memory) *Pool {
+func NewPool(address string, parser HeaderParser, memory *chivehillbudget.Memory) *Pool {
 	return &Pool{address: address, parser: parser, memory: memory}
 }
 
