fix: hosts that lose their leader's connection do not all try the store

Cause: the newest contact with the store was taken from the peers connected at that moment. When the connection to the leader is reset, a follower falls back to its own contact, which is of its start, and tries the store at once, however many hosts precede it: the turns are counted from the contact.

Change: the relay keeps the newest contact that it has known, whoever reported it.

Why it works: the contact of the leader stays true when the connection ends; from there the 2.4 s and the turns begin, and a new connection is open within 0.2 to 0.4 s. A configuration counts as current by the same contact, so hosts do not answer 503 for unknown routes in that moment either.

Seen failing before: TestLostConnectionToTheLeaderSendsAllHostsToTheStore (no contact at all after the reset).

Measured: tests of the relay with the race detector.

--- a/internal/chivehillrelay/decide.go
+++ b/internal/chivehillrelay/decide.go
@@ -103,8 +103,8 @@
 	Down map[chivehillid.HostID]bool
 	// DialFailed contains the hosts whose last dial failed.
 	DialFailed map[chivehillid.HostID]bool
-	// ContactAt is the time of this host's own newest contact with the store.
-	// HasContact is set if there was one.
+	// ContactAt is the time of the newest contact with the store that this host has known,
+	// its own or reported by a peer of before. HasContact is set if there was one.
 	ContactAt  chivehillclock.Millis
 	HasContact bool
 	// HasAllCollections is set once this host has every collection.
--- a/internal/chivehillrelay/link_test.go
+++ b/internal/chivehillrelay/link_test.go
@@ -199,3 +199,35 @@
 	r.Run(ctx)
 	qt.Assert(t, r.start(func() { t.Error("task started") }), qt.IsFalse)
 }
+
+// TestLostConnectionToTheLeaderSendsAllHostsToTheStore resets the connection to a leader that
+// the store has just answered. Until the connection is open again, what the leader reported
+// holds: if each host fell back to its own contact of long ago, all would try the store.
+func TestLostConnectionToTheLeaderSendsAllHostsToTheStore(t *testing.T) {
+	r := newTestRelay()
+	leader := chivehillcatalog.Host{ID: "leader", Domain: "d", Region: "r", Capacity: 2}
+	hosts := []chivehillwire.RelayRecord{{Name: "leader", Revision: 1}, {Name: "self", Revision: 2}}
+	l := newLink(r, nil, leader, true)
+	for _, c := range chivehillcatalog.Collections {
+		r.receive(l, chivehillwire.RelayMessage{Updates: []chivehillwire.RelayUpdate{{Collection: c, Full: true, AsOf: 5, Records: hosts}}})
+	}
+	r.Clock.Advance(20 * chivehillclock.Second)
+	r.links[linkKey{id: "leader", dialed: true}] = l
+	l.recordReceived(chivehillwire.RelayMessage{Beat: &chivehillwire.RelayBeat{ContactAgeMs: 50}})
+	at, hasContact := r.Contact()
+	qt.Assert(t, hasContact, qt.IsTrue)
+	qt.Assert(t, at, qt.Equals, r.Clock.Now()-50)
+	delete(r.links, linkKey{id: "leader", dialed: true})
+	r.Clock.Advance(200 * chivehillclock.Millisecond)
+	r.mu.Lock()
+	s := r.collectState()
+	r.mu.Unlock()
+	qt.Assert(t, s.HasContact, qt.IsTrue)
+	qt.Assert(t, s.ContactAt, qt.Equals, at)
+	var d Decision
+	d.ContactAt, d.HasContact = newestContact(s)
+	qt.Assert(t, d.shouldTryStore(s, 1), qt.IsFalse)
+	r.Clock.Advance(contactTimeout + contactStaggerStep)
+	s.Now = r.Clock.Now()
+	qt.Assert(t, d.shouldTryStore(s, 1), qt.IsTrue, qt.Commentf("the store is tried once the contact is old"))
+}
--- a/internal/chivehillrelay/relay.go
+++ b/internal/chivehillrelay/relay.go
@@ -70,6 +70,11 @@
 	links      map[linkKey]*link
 	dialState  map[string]*dialState
 	lastSeenAt map[chivehillid.HostID]chivehillclock.Millis
+	// contactAt is the time of the newest contact with the store that this host has known,
+	// also if the peer that reported it is no longer connected. hasContact is set if there
+	// was one.
+	contactAt  chivehillclock.Millis
+	hasContact bool
 	// requestedAt is when each collection was last requested from a peer.
 	requestedAt map[chivehillcatalog.Collection]chivehillclock.Millis
 	decision    Decision
@@ -176,7 +181,7 @@
 }
 
 // collectState returns the state from which Decide makes the next decision. It also
-// updates lastSeenAt. The caller must hold r.mu.
+// updates lastSeenAt and the newest contact. The caller must hold r.mu.
 func (r *Relay) collectState() State {
 	now := r.Clock.Now()
 	s := State{
@@ -184,7 +189,10 @@
 		DialFailed: make(map[chivehillid.HostID]bool),
 		LastSeenAt: r.lastSeenAt, Leader: r.decision.Leader, LeaderSince: r.leaderSince, LastFollowedAt: r.lastFollowedAt, Down: r.decision.Down,
 	}
-	s.ContactAt, s.HasContact = r.Options.Contact()
+	s.ContactAt, s.HasContact = r.contactAt, r.hasContact
+	if at, has := r.Options.Contact(); has && (!s.HasContact || at > s.ContactAt) {
+		s.ContactAt, s.HasContact = at, true
+	}
 	s.HasAllCollections = r.hasAllCollections()
 	s.StoreUnreachable, s.Delegate = r.watching && r.StoreUnreachable(), r.decision.Delegate
 	for key, l := range r.links {
@@ -193,6 +201,7 @@
 			s.Peers[key.id] = p
 		}
 	}
+	r.contactAt, r.hasContact = newestContact(s)
 	for id, h := range s.Hosts {
 		if target := r.dialState[h.PeerAddress]; target != nil && target.failed {
 			s.DialFailed[id] = true
