fix: callers whose failure domain has no hosts are spread over those of the region

What callers saw: nothing was reported. With more than 64 hosts in a region, callers of each failure domain that is lost or stopped were all sent to the 64 hosts that come first by name, the others of the region got none of them.

Cause: an answer names at most 64 hosts, cut off a list sorted by ID.

Evidence: the test.

Change: if there are more, 64 are taken in the order of a hash of the callers' failure domain and the host.

Why it works: each failure domain has its own order, the same at every host that is asked, and the load of one that is lost falls on hosts all over the region; a host that goes or comes changes one place.

Seen failing before: TestCallersOfAllDomainsAreSentToTheSameHosts (64 of 150 hosts were named at all).

Measured: the tests of the directory.

--- a/internal/chivehilldirectory/directory.go
+++ b/internal/chivehilldirectory/directory.go
@@ -5,6 +5,8 @@
 	"cmp"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/chivehill/chivehill/internal/chivehillcatalog"
 	"github.com/chivehill/chivehill/internal/chivehillid"
 )
@@ -35,13 +37,27 @@
 			}
 		}
 		if len(chosen) > 0 {
-			slices.SortFunc(chosen, func(a, b chivehillcatalog.Host) int { return cmp.Compare(a.ID, b.ID) })
-			return chosen[:min(len(chosen), maxHosts)]
+			return limit(chosen, q.Domain)
 		}
 	}
 	return nil
 }
 
+// limit returns at most maxHosts hosts, sorted by ID. Callers of different failure domains
+// are given different ones, so that no host gets the callers of all of them.
+func limit(hosts []chivehillcatalog.Host, callers chivehillid.DomainID) []chivehillcatalog.Host {
+	if len(hosts) > maxHosts {
+		slices.SortFunc(hosts, func(a, b chivehillcatalog.Host) int { return cmp.Compare(rank(a.ID, callers), rank(b.ID, callers)) })
+		hosts = hosts[:maxHosts]
+	}
+	slices.SortFunc(hosts, func(a, b chivehillcatalog.Host) int { return cmp.Compare(a.ID, b.ID) })
+	return hosts
+}
+
+func rank(id chivehillid.HostID, callers chivehillid.DomainID) uint64 {
+	return xxhash.Sum64String(string(callers) + "/" + string(id))
+}
+
 // allowed reports whether all routes may be served in a region.
 func allowed(region chivehillid.RegionID, routes []chivehillcatalog.Route) bool {
 	for _, r := range routes {
--- a/internal/chivehilldirectory/directory_test.go
+++ b/internal/chivehilldirectory/directory_test.go
@@ -1,6 +1,7 @@
 package chivehilldirectory
 
 import (
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -34,3 +35,27 @@
 		qt.Check(t, got, qt.DeepEquals, tt.want, qt.Commentf("%s", tt.rule))
 	}
 }
+
+// TestCallersOfAllDomainsAreSentToTheSameHosts asks for callers of failure domains without
+// hosts, in a region with more hosts than an answer names.
+func TestCallersOfAllDomainsAreSentToTheSameHosts(t *testing.T) {
+	const hosts, domains = 150, 20
+	var live []chivehillcatalog.Host
+	for i := range hosts {
+		live = append(live, chivehillcatalog.Host{ID: chivehillid.HostID(fmt.Sprintf("h-%03d", i)), Domain: "e1", Region: "e"})
+	}
+	named := make(map[chivehillid.HostID]int)
+	for i := range domains {
+		q := Query{Hostname: "h", Region: "e", Domain: chivehillid.DomainID(fmt.Sprintf("lost-%d", i))}
+		chosen := Choose(q, live, nil)
+		qt.Assert(t, chosen, qt.HasLen, maxHosts)
+		qt.Assert(t, chosen, qt.DeepEquals, Choose(q, live, nil), qt.Commentf("an answer does not change without need"))
+		for _, h := range chosen {
+			named[h.ID]++
+		}
+	}
+	qt.Assert(t, named, qt.HasLen, hosts, qt.Commentf("each host is named to some callers"))
+	for id, n := range named {
+		qt.Check(t, n < domains, qt.IsTrue, qt.Commentf("host %s is named to all callers", id))
+	}
+}
