fix: a host that watches the store in its leader's place tells the leader at once

Cause: updates are pushed to the peers that follow a host. A delegate that follows the leader itself pushed nothing to it: the leader learnt from a heartbeat that it was behind, waited 0.35 s for the push, and then asked.

Ruled out: a slow link (the followers of dohoku-a-5 get the update within 30 ms); the watches' time-outs alone (with the push the other region would have had it at about 4.4 s).

Change: while a host watches the store, it publishes to the host that it follows as well.

Why it works: an update is passed on only if it took effect, so what the leader sends back ends there.

--- a/internal/chivehillrelay/link_test.go
+++ b/internal/chivehillrelay/link_test.go
@@ -231,3 +231,18 @@
 	s.Now = r.Clock.Now()
 	qt.Assert(t, d.shouldTryStore(s, 1), qt.IsTrue, qt.Commentf("the store is tried once the contact is old"))
 }
+
+// TestDelegateKeepsNewsFromItsLeader lets a host receive a change of the store that watches it
+// in place of the leader that it follows.
+func TestDelegateKeepsNewsFromItsLeader(t *testing.T) {
+	for _, watching := range []bool{true, false} {
+		r := newTestRelay()
+		r.watching = watching
+		leader := newLink(r, nil, chivehillcatalog.Host{ID: "leader", Domain: "d", Region: "r"}, true)
+		r.links[linkKey{id: "leader", dialed: true}] = leader
+		r.Publish(chivehillcatalog.Configurations, chivehillcatalog.Update{AsOf: 9, Records: []chivehillcatalog.Record{{Name: "main", Revision: 9}}})
+		m := leader.takePending()
+		sent := m != nil && len(m.Updates) == 1
+		qt.Check(t, sent, qt.Equals, watching, qt.Commentf("watching: %v", watching))
+	}
+}
--- a/internal/chivehillrelay/update.go
+++ b/internal/chivehillrelay/update.go
@@ -11,7 +11,9 @@
 )
 
 // Publish sends an update of a collection to the peers of the region that follow
-// this host: those of other failure domains, and those of its own that dialed it.
+// this host: those of other failure domains, and those of its own that dialed it. A host
+// that watches the store sends it to the host that it follows as well, in whose place it
+// may be watching.
 // Peers of other regions get only a heartbeat with the new collection state and
 // request the collection if they need it.
 func (r *Relay) Publish(c chivehillcatalog.Collection, update chivehillcatalog.Update) {
@@ -23,8 +25,9 @@
 		r.Log.Error().Str("step", "encode update").Str("collection", string(c)).Err(err).Msg("relay: failed to encode an update, which is not sent to peers.")
 		return
 	}
+	watching := r.Watching()
 	for _, l := range r.allLinks() {
-		if l.host.Region == r.Self.Region && (l.host.Domain != r.Self.Domain || !l.dialed) {
+		if l.host.Region == r.Self.Region && (l.host.Domain != r.Self.Domain || !l.dialed || watching) {
 			l.add(add)
 		}
 	}
