--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -138,7 +138,9 @@
 // playLate: a consumer that still has an older answer of the directory sends an unsafe request to a
 // host 3.4 s after its SIGTERM.
 func playLate(d *deployment, program string, trouble bool) error {
-	d.store.put("config", "main", configuration(1), map[string]any{})
+	c := configuration(1)
+	c["routes"].(map[string]any)["r-licence"].(map[string]any)["timeoutS"] = 2.5
+	d.store.put("config", "main", c, map[string]any{})
 	work := func(r *http.Request) time.Duration {
 		if r.URL.Path == "/licence/long" {
 			return 2300 * time.Millisecond
@@ -542,7 +544,7 @@
 	c := configuration(1)
 	routes := c["routes"].(map[string]any)
 	routes["r-quote"] = map[string]any{
-		"hostname": hostname, "pathPrefix": "/licence/quote/", "routeType": "safe", "timeoutS": 2.0, "targetLatencyS": 0.4,
+		"hostname": hostname, "pathPrefix": "/licence/quote/", "routeType": "safe", "timeoutS": 1.0, "targetLatencyS": 0.4,
 		"priority": 2, "service": "tables-svc", "maxAttempts": 2, "allowedRegions": []string{},
 	}
 	d.store.put("config", "main", c, map[string]any{})
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -303,9 +303,9 @@
 	return map[string]any{
 		"version": version,
 		"routes": map[string]any{
-			"r-tooth":   route("/tooth/", "safe", 2.0, 0.4, 2, "tables-svc", []string{}),
-			"r-licence": route("/licence/", "unsafe", 2.5, 0.5, 1, "tables-svc", []string{}),
-			"r-cert":    route("/cert/", "unsafe", 1.5, 0.3, 0, "design-svc", []string{}),
+			"r-tooth":   route("/tooth/", "safe", 1.0, 0.4, 2, "tables-svc", []string{}),
+			"r-licence": route("/licence/", "unsafe", 1.2, 0.5, 1, "tables-svc", []string{}),
+			"r-cert":    route("/cert/", "unsafe", 0.8, 0.3, 0, "design-svc", []string{}),
 			"r-profile": route("/profile/", "safe", 1.0, 0.2, 1, "design-svc", []string{}),
 		},
 		"services": map[string]any{"tables-svc": service, "design-svc": service},
