--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,4 +6,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -x target/chivehill ] && [ -x target/review/standin ] || exit 2
-exec target/review/standin late target/chivehill "$here/record.txt"
+exec target/review/standin evac target/chivehill "$here/record.txt"
