--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -7,6 +7,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -43,6 +45,13 @@
 	d, err := newDeployment(rec)
 	if err == nil {
 		defer d.close()
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+		go func() {
+			<-signals
+			d.close()
+			os.Exit(2)
+		}()
 		err = cases[name](d, program, trouble)
 	}
 	code := 0
