fix: a leaving host sends no request that it would have to cut off

Cause: a request's deadline was the shorter of the caller's and the route's timeout. A host that leaves cuts open requests off earlier (0.5 s before the end of the grace), and nothing before the send asked for that, although "not run" was still true. The listener's time is not the cause: a route's timeout may be longer than any rest of the grace, and connections that are open take requests as well. Change: at SIGTERM the gateway learns when open requests are cut off (Gateway.StopAt). Right before each send, first or retry, and for requests that wait for capacity at that moment, a deadline beyond that is refused at once, as not run (`stopping`, with its counter and line), with the shortest Retry-After, since another host can serve it. Why it works: after SIGTERM, what is sent has its deadline 0.1 s before the cut-off or earlier, so its answer, or its 504, is written before. What was sent before SIGTERM is cut off as before; it is excused and can't be known then. TestGivenUpWaitersStay... is changed in the type of its match function only.

--- a/internal/chivehillgateway/gateway.go
+++ b/internal/chivehillgateway/gateway.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 
@@ -69,6 +70,8 @@
 	// serviceTimes tracks the typical service time of each route.
 	serviceTimes *chivehillselector.ServiceTimes
 	queues       queues
+	// stopAt is when this host cuts off open requests, nil while it does not stop.
+	stopAt atomic.Pointer[chivehillclock.Millis]
 }
 
 // New returns a gateway.
--- a/internal/chivehillgateway/refusals_test.go
+++ b/internal/chivehillgateway/refusals_test.go
@@ -156,6 +156,8 @@
 	suspect        bool
 	deadlinePassed bool
 	callerGone     bool
+	// stopping makes the host stop just before the deadline of the request.
+	stopping bool
 	// cold makes the servers cold; between choice and send, this host stops being
 	// responsible for them.
 	cold          bool
@@ -229,6 +231,9 @@
 			g.Suspects.Record(g.Clock.Now(), fingerprint(r), "self")
 		}
 	}
+	if s.stopping {
+		g.StopAt(r.Arrived + testTimeout - chivehillclock.Millisecond)
+	}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	if s.callerGone {
@@ -261,6 +266,8 @@
 	{scenario{suspect: true, servers: handlers{signed}}, chivehillreason.Suspect, chivehillreason.NotRun, 503},
 	{scenario{deadlinePassed: true, servers: handlers{signed}}, chivehillreason.DeadlinePassed, chivehillreason.NotRun, 503},
 	{scenario{callerGone: true, servers: handlers{signed}}, chivehillreason.CallerGone, chivehillreason.NotRun, 503},
+	{scenario{stopping: true, servers: handlers{signed}}, chivehillreason.Stopping, chivehillreason.NotRun, 503},
+	{scenario{stopping: true, nonIdempotent: true, servers: handlers{signed}}, chivehillreason.Stopping, chivehillreason.NotRun, 503},
 	{scenario{}, chivehillreason.NoServer, chivehillreason.NotRun, 503},
 	{scenario{cold: true, healthHeaders: "Cold: 1\r\n", servers: handlers{signed}}, chivehillreason.NoServer, chivehillreason.NotRun, 503},
 	{scenario{servers: handlers{refused, refused}}, chivehillreason.ServerRefused, chivehillreason.NotRun, 503},
--- a/internal/chivehillgateway/send.go
+++ b/internal/chivehillgateway/send.go
@@ -31,6 +31,9 @@
 		if g.isSuspect(c) {
 			return g.refuse(c, chivehillreason.Suspect, retryAfterFraction*(c.deadline-g.Clock.Now()))
 		}
+		if g.stopsBefore(c.deadline) {
+			return g.refuse(c, chivehillreason.Stopping, 0)
+		}
 		if ctx.Err() != nil {
 			return g.refuse(c, chivehillreason.CallerGone, 0)
 		}
@@ -38,6 +41,10 @@
 			return g.refuse(c, chivehillreason.DeadlinePassed, 0)
 		}
 		chosen := g.findServer(ctx, c)
+		if g.stopsBefore(c.deadline) {
+			chosen.release()
+			return g.refuse(c, chivehillreason.Stopping, 0)
+		}
 		if chosen == nil {
 			return g.refuseForCapacity(c, last.reason, max(retryAfterNoServer, retryAfterFraction*(c.deadline-g.Clock.Now())))
 		}
--- a/internal/chivehillgateway/wait.go
+++ b/internal/chivehillgateway/wait.go
@@ -40,6 +40,15 @@
 	return found
 }
 
+// giveUp gives up the waiting requests of all services that match.
+func (q *queues) giveUp(match func(*chivehillqueue.Waiter) bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, queue := range q.byService {
+		queue.GiveUp(match)
+	}
+}
+
 // findServer returns a server for a request. If no server is expected to answer in
 // time, the request waits for capacity until its latest useful start. It returns
 // nil if no server was found by then.
@@ -73,8 +82,8 @@
 }
 
 // waitForCapacity queues a request until a server with spare capacity is assigned
-// to it. It returns nil if that does not happen by the latest useful start, or if all
-// servers ask for quiet.
+// to it. It returns nil if that does not happen by the latest useful start, if all
+// servers ask for quiet, or if the host stops before the deadline of the request.
 func (g *Gateway) waitForCapacity(ctx context.Context, c *call) *choice {
 	latestStart := g.latestStart(c)
 	now := g.Clock.Now()
@@ -82,7 +91,7 @@
 		return nil
 	}
 	queue := g.queues.forService(c.service.ID)
-	waiter := &chivehillqueue.Waiter{Priority: c.route.Priority, LatestStart: latestStart, Requirements: c.requirements(), Assigned: make(chan chivehillselector.Candidate, 1)}
+	waiter := &chivehillqueue.Waiter{Priority: c.route.Priority, LatestStart: latestStart, Deadline: c.deadline, Requirements: c.requirements(), Assigned: make(chan chivehillselector.Candidate, 1)}
 	// The first waiter starts a poller, which ends when it finds the queue empty. If the
 	// queue empties and fills again between two polls, a second poller runs beside the
 	// first until they find the queue empty.
@@ -136,7 +145,7 @@
 			continue
 		}
 		if g.allQuiet(requirements) {
-			queue.GiveUp(g.allQuiet)
+			queue.GiveUp(func(w *chivehillqueue.Waiter) bool { return g.allQuiet(w.Requirements) })
 			continue
 		}
 		candidates := g.Table.Spread(requirements, probesPerRound)
--- a/internal/chivehillhost/host.go
+++ b/internal/chivehillhost/host.go
@@ -85,6 +85,7 @@
 	pools       *chivehillgateway.Pools
 	budget      *chivehillgateway.RetryBudget
 	suspects    *chivehillsuspect.Table
+	gateway     *chivehillgateway.Gateway
 	front       *chivehillfront.Server
 
 	downMu sync.Mutex
@@ -128,12 +129,12 @@
 	h.watcher.OnUpdate = h.relay.Publish
 	h.pools = chivehillgateway.NewPools(p.Headers, int64(s.MemoryMb*bytesPerMB*maxResponseShare))
 	h.budget = chivehillgateway.NewRetryBudget(s.Bounds.RetryRatio, s.Bounds.RetrySlack, 1)
-	gateway := chivehillgateway.New(chivehillgateway.Options{
+	h.gateway = chivehillgateway.New(chivehillgateway.Options{
 		Suspects: h.suspects, Self: s.Host, OnKill: h.relay.ReportSuspect, OnLeaving: h.relay.ReportLeaving,
 		Catalog: h, Table: h.table, Pools: h.pools, Budget: h.budget, Headers: p.Headers, Clock: h.clock, Metrics: h.metrics, Log: log,
 	})
 	h.front = &chivehillfront.Server{
-		Handler: gateway, Limits: h.limits, Clock: h.clock, Log: log, BodyMemory: chivehillbudget.NewMemory(int64(s.MemoryMb * bytesPerMB * maxBufferedShare)),
+		Handler: h.gateway, Limits: h.limits, Clock: h.clock, Log: log, BodyMemory: chivehillbudget.NewMemory(int64(s.MemoryMb * bytesPerMB * maxBufferedShare)),
 	}
 	return h
 }
--- a/internal/chivehillqueue/queue.go
+++ b/internal/chivehillqueue/queue.go
@@ -22,6 +22,8 @@
 	Priority int
 	// LatestStart is the last time at which it is useful to start the request.
 	LatestStart chivehillclock.Millis
+	// Deadline is when the caller stops waiting for the response.
+	Deadline chivehillclock.Millis
 	// Requirements holds the constraints on the server.
 	Requirements chivehillselector.Requirements
 	// Assigned receives the assigned server, or is closed if the queue gives the request
@@ -81,12 +83,12 @@
 	return requirements, false
 }
 
-// GiveUp removes the waiters whose requirements match and closes their channels.
-func (q *Queue) GiveUp(match func(chivehillselector.Requirements) bool) {
+// GiveUp removes the waiters that match and closes their channels.
+func (q *Queue) GiveUp(match func(*Waiter) bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.waiting = slices.DeleteFunc(q.waiting, func(w *Waiter) bool {
-		matches := match(w.Requirements)
+		matches := match(w)
 		if matches {
 			close(w.Assigned)
 		}
--- a/internal/chivehillqueue/queue_test.go
+++ b/internal/chivehillqueue/queue_test.go
@@ -54,7 +54,7 @@
 	q := &Queue{}
 	q.Push(givenUp)
 	q.Push(kept)
-	q.GiveUp(func(r chivehillselector.Requirements) bool { return r.Service == "s" })
+	q.GiveUp(func(w *Waiter) bool { return w.Requirements.Service == "s" })
 	_, open := <-givenUp.Assigned
 	qt.Assert(t, open, qt.IsFalse)
 	qt.Assert(t, q.Remove(givenUp), qt.IsFalse)
