fix: a connection accepted in the moment of shutdown is not served

What callers would see: a connection that a stopping host accepts just as its listener closes was started after the wait for open connections had ended; its request is cut off when the process exits. Not seen outside the test; the window is the time between the last look at open connections and the exit. Cause: Shutdown waited for a group of connections to which Serve could still add one. Change: once no connection is busy, or the open ones are cut off, the server has ended, in the same critical section; a connection that comes later is closed unread, so that its caller may send again, whatever the request.

--- a/internal/chivehillfront/server.go
+++ b/internal/chivehillfront/server.go
@@ -33,6 +33,9 @@
 
 	mu        sync.Mutex
 	openConns map[*conn]struct{}
+	// ended is set once Shutdown waits for the last connections to end. No connection is
+	// started after that.
+	ended bool
 }
 
 // Serve accepts connections until the listener is closed.
@@ -51,14 +54,19 @@
 	}
 }
 
+// start serves a connection, or closes it without reading if the server has ended.
 func (s *Server) start(raw net.Conn) {
 	c := newConn(s, raw)
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		_ = raw.Close()
+		return
+	}
 	if s.openConns == nil {
 		s.openConns = make(map[*conn]struct{})
 	}
 	s.openConns[c] = struct{}{}
-	s.mu.Unlock()
 	s.conns.Go(func() {
 		c.run()
 		s.mu.Lock()
@@ -97,7 +105,7 @@
 }
 
 // closeIdle closes the connections without a request in flight and returns the
-// number of the remaining ones.
+// number of the remaining ones. If none remains, the server has ended.
 func (s *Server) closeIdle() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -107,12 +115,14 @@
 			busy++
 		}
 	}
+	s.ended = busy == 0
 	return busy
 }
 
 func (s *Server) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.ended = true
 	for c := range s.openConns {
 		_ = c.raw.Close()
 	}
