fix: a stopping host answers all requests that it has read from a connection

Cause: after SIGTERM every response closed its connection, without a look at the requests behind it, which had been read and begun. That the wait for open requests ended early is ruled out: the host lived on. Change: while the server closes, a response closes its connection only if it is the last one owed; in the same step, under the lock of the pending count, the connection stops reading (conn.endIfLast). A request that is half read counts as read. At most one request is read from a connection after SIGTERM, as before. Why it works: `pending` counts each request from its first byte to its written response, and both the reader and the writer change it under one lock, so no request can be between "read" and "pending" when the last response closes.

--- a/internal/chivehillfront/conn.go
+++ b/internal/chivehillfront/conn.go
@@ -54,7 +54,9 @@
 	// pending is the number of requests without a written response, including
 	// one that is being read.
 	pending int
-	closed  bool
+	// closed is set once no further request is read. It is set only while no request is
+	// being read.
+	closed bool
 }
 
 // exchange is one request and its response.
--- a/internal/chivehillfront/server.go
+++ b/internal/chivehillfront/server.go
@@ -75,8 +75,8 @@
 	})
 }
 
-// CloseAfterResponse closes each connection after its next response. Connections are still
-// accepted.
+// CloseAfterResponse lets at most one more request be read from each connection, which closes
+// after the response to the last one that was read. Connections are still accepted.
 func (s *Server) CloseAfterResponse() {
 	s.closing.Store(true)
 }
--- a/internal/chivehillfront/write.go
+++ b/internal/chivehillfront/write.go
@@ -55,7 +55,7 @@
 		c.terminate()
 		return false
 	}
-	closeAfter := e.closeAfter || c.server.closing.Load()
+	closeAfter := e.closeAfter || c.server.closing.Load() && c.endIfLast()
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := c.raw.Write(encodeResponse(e, closeAfter)); err != nil {
 		c.server.Log.Info().Str("peer", c.raw.RemoteAddr().String()).Str("step", "write response").Err(err).Msg("front: writing the response failed.")
@@ -72,6 +72,17 @@
 	return false
 }
 
+// endIfLast ends the reading of requests if all that were read have their responses but the
+// one whose response comes next, and reports whether that is so. A request that is being
+// read counts as read.
+func (c *conn) endIfLast() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last := c.pending == 1
+	c.closed = c.closed || last
+	return last
+}
+
 // terminate closes the connection and cancels its running requests.
 func (c *conn) terminate() {
 	c.cancel()
