fix: a record that is removed and written again within one answer is held

Cause: the event of a removal may come with the revision of the record that it removes, so a removal counted as made at the end of its update. For a removal at 20 and a write at 21 in one answer, as of 21, the write was no newer than the removal, and was dropped; the removal then refused it in lists and from peers as well, for a minute. Ruled out: that the store's answer or the adapter loses the second write (the collection alone drops it), and that the table of servers has an older view (the view lacks the withdrawal). Change: a removal holds up to the next record of its name in the update, and up to the end of the update if there is none (Update.goneUntil). Removals keep refusing sources that lag behind, as before. Why it works: the records of an update are in the order of their changes, so between the removal and the next write of the name the record was gone, and not longer; the last removal is known to hold until the end.

--- a/internal/chivehillcatalog/records.go
+++ b/internal/chivehillcatalog/records.go
@@ -60,13 +60,14 @@
 	r.copied.prepare(u)
 	var changes []change
 	present := make(map[string]bool, len(u.Records))
-	for _, e := range u.Records {
+	goneUntil := u.goneUntil()
+	for i, e := range u.Records {
 		present[e.Name] = true
 		if r.holdsNewer(e, u.Settled) {
 			continue
 		}
 		if e.Deleted {
-			revision := max(e.Revision, u.AsOf)
+			revision := max(e.Revision, goneUntil[i])
 			r.copied.forgetRemoved(e.Name, revision)
 			changes = r.remove(now, changes, e.Name, revision)
 			continue
--- a/internal/chivehillcatalog/types.go
+++ b/internal/chivehillcatalog/types.go
@@ -5,6 +5,8 @@
 package chivehillcatalog
 
 import (
+	"slices"
+
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 	"github.com/chivehill/chivehill/internal/chivehillid"
 	"github.com/chivehill/chivehill/internal/chivehillregion"
@@ -65,7 +67,9 @@
 	// apply if Full is set.
 	Since Revision
 	// AsOf is the revision up to which Records is complete.
-	AsOf    Revision
+	AsOf Revision
+	// Records is in the order of the changes, unless Full is set. A record may be changed more
+	// than once. The revision of a removal may be that of the record that it removes.
 	Records []Record
 	// FromStore is set if the update is the store's own answer.
 	FromStore bool
@@ -78,6 +82,24 @@
 	Settled bool
 }
 
+// goneUntil returns, for each removal among the records, the revision up to which the record
+// stays gone: the end of the update, or the revision before that of the next record of the
+// same name. The records are in the order of their changes.
+func (u Update) goneUntil() []Revision {
+	until := make([]Revision, len(u.Records))
+	rewritten := make(map[string]Revision)
+	for i, e := range slices.Backward(u.Records) {
+		until[i] = u.AsOf
+		if next, found := rewritten[e.Name]; found {
+			until[i] = min(u.AsOf, next-1)
+		}
+		if !e.Deleted {
+			rewritten[e.Name] = e.Revision
+		}
+	}
+	return until
+}
+
 // Target is a service that requests of a route are sent to.
 type Target struct {
 	Service chivehillid.ServiceID
