test: a response that stops at any byte of its head or body is not taken for whole

Cause: operators of a system like ours report a server that stopped in the middle of its answer's head; callers got a 200 with an empty or short body, framed as whole. Looked for: a response with a length, with chunks, ending with its connection, with an interim one before it and with line feeds alone, cut off at each byte. Each is an error here until its last needed byte, so nothing is mended.

--- a/internal/chivehillupstream/conn_test.go
+++ b/internal/chivehillupstream/conn_test.go
@@ -103,6 +103,38 @@
 	}
 }
 
+// TestResponseThatStopsEarlyLooksComplete guards against a server that stops at any byte of its
+// head or body and closes. A body without a length ends with its connection, so that only its
+// head can be seen to be cut off.
+func TestResponseThatStopsEarlyLooksComplete(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nId: a\r\nX: y\r\n"
+	tests := []struct {
+		about string
+		text  string
+		// needed is the number of bytes without which the response is not whole.
+		needed int
+	}{
+		{"length", head + "Content-Length: 4\r\n\r\nbody", len(head) + len("Content-Length: 4\r\n\r\nbody")},
+		{"empty body", head + "Content-Length: 0\r\n\r\n", len(head) + len("Content-Length: 0\r\n\r\n")},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", len(head) + len("Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")},
+		{"body that ends with its connection", head + "Connection: close\r\n\r\nbody", len(head) + len("Connection: close\r\n\r\n")},
+		{"line feeds only", "HTTP/1.1 200 OK\nId: a\nContent-Length: 1\n\nb", len("HTTP/1.1 200 OK\nId: a\nContent-Length: 1\n\nb")},
+		{"interim response first", "HTTP/1.1 100 Continue\r\n\r\n" + completeResponse("a", "body"), len("HTTP/1.1 100 Continue\r\n\r\n" + completeResponse("a", "body"))},
+	}
+	for _, tt := range tests {
+		for end := range len(tt.text) + 1 {
+			pool := serve(t, func(c net.Conn, _ int, _ *http.Request) {
+				_, _ = io.WriteString(c, tt.text[:end])
+				_ = c.Close()
+			})
+			lease, err := pool.Take(t.Context(), 1000)
+			qt.Assert(t, err, qt.IsNil)
+			response, _, err := lease.Do(t.Context(), request("a"))
+			qt.Check(t, err == nil, qt.Equals, end >= tt.needed, qt.Commentf("%s: %q: %d %q %v", tt.about, tt.text[:end], response.Status, response.Body, err))
+		}
+	}
+}
+
 func TestUnsolicitedBytesCloseTheConnection(t *testing.T) {
 	pool := serve(t, func(c net.Conn, n int, r *http.Request) {
 		_, _ = io.WriteString(c, completeResponse(r.URL.Query().Get("id"), "b"))
