fix: the head of a response takes at most 64 KB in chivehill serve

What callers would see: operators of a system like ours report a faulty server that sent bytes without end in a head; the machine that had called it ran out of memory, and the requests of others ended with it. Cause: chivehilldispatch left its HTTP client's limit of 10 MB a head, for each response that is being read. The gateway's own reader has had a bound of 64 KB. Evidence: TestHeadWithoutEndIsKeptInMemory counted 10.5, 10.5, 5.6 and 7.8 MB that were read of a status line, a header line, header lines and interim responses before the request ended. Change: the same bound of 64 KB. Why it works: the client counts the bytes of a head, interim responses included, and ends the connection above that. After: at most 72 KB, with the read buffer. TestResponseThatStopsEarlyLooksComplete shows for this path, too, that a response that stops at any byte is an error; it held before.

--- a/internal/chivehilldispatch/dispatch.go
+++ b/internal/chivehilldispatch/dispatch.go
@@ -37,6 +37,11 @@
 	// maxIdleConnections bounds the idle connections to one server. It is the share of
 	// one host if 14 hosts divide the 220 connections of a server equally.
 	maxIdleConnections = 15
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
+	// readBufferBytes and writeBufferBytes are the sizes of the buffers of a connection.
+	readBufferBytes  = 8 << 10
+	writeBufferBytes = 8 << 10
 )
 
 // Request is a request to a server, with its whole body in memory.
@@ -108,7 +113,7 @@
 		clock: clock,
 		transport: &http.Transport{
 			DialContext: dial, MaxConnsPerHost: maxConnections, MaxIdleConnsPerHost: maxIdleConnections,
-			IdleConnTimeout: idleTimeout, DisableCompression: true, ReadBufferSize: 8 << 10, WriteBufferSize: 8 << 10,
+			IdleConnTimeout: idleTimeout, DisableCompression: true, ReadBufferSize: readBufferBytes, WriteBufferSize: writeBufferBytes, MaxResponseHeaderBytes: maxHeadBytes,
 		},
 	}
 }
