fix: a request's route is selected by its path as sent

Cause: the target was read twice: decoded to find the route, as sent to be forwarded. Decoded, the path lay below an idempotent route. Ruled out: that the retry judges by another route than the one found; both come from one look-up. Change: chivehillfront.NewRequest reads the path once, as sent (chivehilltarget.Path); route, service, timeout, regions and idempotence follow from it. As a server may read a path decoded, with dot segments resolved or double slashes as one, a request is idempotent only if that reading selects an idempotent route as well. Why it works: PROTOCOL of the platform selects by the prefix that begins the path and forwards the path unchanged, so the bytes that are forwarded are the ones that select. The second reading can only take idempotence away. What it costs: a request to an idempotent route whose path leaves the route when it is normalized is not retried. A path whose letters are needlessly encoded no longer finds its route, as the platform's words have it.

--- a/Makefile
+++ b/Makefile
@@ -63,6 +63,7 @@
 fuzz:
 	go test -run '^$$' -fuzz FuzzEntries -fuzztime $(FUZZTIME) ./platform
 	go test -run '^$$' -fuzz FuzzAnswers -fuzztime $(FUZZTIME) ./internal/chivehillupstream
+	go test -run '^$$' -fuzz FuzzRequests -fuzztime $(FUZZTIME) ./internal/chivehillgateway
 	go test -run '^$$' -fuzz FuzzMessages -fuzztime $(FUZZTIME) ./internal/chivehillrelay
 	go test -run '^$$' -fuzz FuzzGatewaySettings -fuzztime $(FUZZTIME) ./internal/chivehillsettings
 	go test -run '^$$' -fuzz FuzzExplain -fuzztime $(FUZZTIME) ./internal/chivehillexplain
--- a/internal/chivehillfront/body.go
+++ b/internal/chivehillfront/body.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/chivehill/chivehill/internal/chivehilltarget"
 )
 
 // readBody reads the body of a request into memory.
@@ -24,18 +26,25 @@
 	if err != nil {
 		return nil, err
 	}
-	hasBody := r.ContentLength > 0 || len(r.TransferEncoding) > 0 || r.Header.Get("Content-Length") != ""
 	closeAfter := r.Close || c.server.closing.Load()
-	request := &Request{
-		Method: r.Method, URI: r.RequestURI, Path: r.URL.Path, Host: r.Host, Header: EndToEnd(r.Header), Body: body, HasBody: hasBody,
-		Arrived: c.server.Clock.Now(), RemoteAddr: c.raw.RemoteAddr().String(),
-	}
+	request := NewRequest(r, body)
+	request.Arrived, request.RemoteAddr = c.server.Clock.Now(), c.raw.RemoteAddr().String()
 	return &exchange{
 		request: request, responded: make(chan struct{}), written: make(chan struct{}), closeAfter: closeAfter, reserved: int64(len(body)),
 		http10: !r.ProtoAtLeast(1, 1), headOnly: r.Method == http.MethodHead,
 	}, nil
 }
 
+// NewRequest returns a request that was read from a connection, with its body. What selects
+// its route is read here and nowhere else, from the bytes that are forwarded.
+func NewRequest(r *http.Request, body []byte) *Request {
+	hasBody := r.ContentLength > 0 || len(r.TransferEncoding) > 0 || r.Header.Get("Content-Length") != ""
+	return &Request{
+		Method: r.Method, URI: r.RequestURI, Path: chivehilltarget.Path(r.RequestURI), Host: r.Host,
+		Header: EndToEnd(r.Header), Body: body, HasBody: hasBody,
+	}
+}
+
 const (
 	// firstReadBytes is the size of the first read of a body.
 	firstReadBytes = 512
--- a/internal/chivehillfront/types.go
+++ b/internal/chivehillfront/types.go
@@ -15,8 +15,10 @@
 type Request struct {
 	Method string
 	// URI is the request target as the caller sent it.
-	URI  string
+	URI string
+	// Path is the path within URI, not decoded.
 	Path string
+	// Host is the authority of URI or, if it has none, the Host field.
 	Host string
 	// Header holds the end-to-end fields; hop-by-hop fields are removed.
 	Header  http.Header
--- a/internal/chivehillgateway/gateway.go
+++ b/internal/chivehillgateway/gateway.go
@@ -118,7 +118,7 @@
 
 // Idempotent implements chivehillfront.Handler.
 func (g *Gateway) Idempotent(r *chivehillfront.Request) bool {
-	route, found := g.Catalog.View().FindRoute(hostname(r.Host), r.Path)
+	route, found := findRoute(g.Catalog.View(), r)
 	return !found || route.Idempotent
 }
 
@@ -126,7 +126,7 @@
 func (g *Gateway) Serve(ctx context.Context, r *chivehillfront.Request) chivehillfront.Response {
 	view := g.Catalog.View()
 	id := g.Headers.RequestID(r.Header)
-	route, found := view.FindRoute(hostname(r.Host), r.Path)
+	route, found := findRoute(view, r)
 	if !found {
 		return g.refuse(&call{request: r, id: id, version: view.Configuration.Version}, g.noRouteReason(view), 0)
 	}
@@ -175,19 +175,6 @@
 	return min(route.Objective, route.Timeout)
 }
 
-// hostname returns host without its port.
-func hostname(host string) string {
-	for i := len(host) - 1; i >= 0; i-- {
-		switch {
-		case host[i] == ':':
-			return host[:i]
-		case host[i] < '0' || host[i] > '9':
-			return host
-		}
-	}
-	return host
-}
-
 // pickTarget selects a service in proportion to its weight; at is a point from 0 to 1.
 func pickTarget(route chivehillcatalog.Route, at float64) chivehillid.ServiceID {
 	sum := 0.0
