fix: chivehill serve selects routes by the path as sent, too

What callers would see: a request that needs a key, with an encoded slash or letter in its path, is taken for one of an idempotent route below its own, is sent without a key and may run twice. A request whose normalized path selects a route that needs a key needs one.

--- a/internal/chivehillentry/entry.go
+++ b/internal/chivehillentry/entry.go
@@ -29,6 +29,7 @@
 	"github.com/chivehill/chivehill/internal/chivehillregion"
 	"github.com/chivehill/chivehill/internal/chivehillslot"
 	"github.com/chivehill/chivehill/internal/chivehillsuspect"
+	"github.com/chivehill/chivehill/internal/chivehilltarget"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
 )
 
@@ -144,7 +145,7 @@
 		e.refuse(w, c, chivehillreason.Refusal{Outcome: outcome, Reason: chivehillreason.ConfigMissing})
 		return
 	}
-	route, found := view.Route(r.URL.Path, c.tenant)
+	route, found := findRoute(view, r.RequestURI, c.tenant)
 	if !found {
 		e.refuse(w, c, chivehillreason.Refusal{Outcome: outcome, Reason: chivehillreason.NoRoute})
 		return
@@ -166,6 +167,18 @@
 	e.serveKeyed(w, r, c, key, keyErr)
 }
 
+// findRoute returns the route that a request target selects by its path as sent. The route
+// counts as idempotent only if a server that normalizes the path finds an idempotent route as well.
+func findRoute(v *chivehillconfig.View, target string, tenant chivehillid.TenantID) (chivehillwire.RouteSpec, bool) {
+	sent := chivehilltarget.Path(target)
+	route, found := v.Route(sent, tenant)
+	route.Idempotent = chivehilltarget.HoldsForAllReadings(sent, func(path string) bool {
+		other, found := v.Route(path, tenant)
+		return found && other.Idempotent
+	})
+	return route, found
+}
+
 func requestID(r *http.Request) string {
 	if id := r.Header.Get(chivehillheader.RequestID); id != "" && len(id) <= maxRequestID {
 		return id
--- a/internal/chivehillentry/entry_test.go
+++ b/internal/chivehillentry/entry_test.go
@@ -96,6 +96,7 @@
 		Routes: []chivehillwire.RouteEntry{
 			{Spec: chivehillwire.RouteSpec{Route: "read", PathPrefix: "/read", Pool: "pool", Idempotent: true, DeadlineMs: 2000}},
 			{Spec: chivehillwire.RouteSpec{Route: "write", PathPrefix: "/write", Pool: "pool", DeadlineMs: 2000}},
+			{Spec: chivehillwire.RouteSpec{Route: "quote", PathPrefix: "/write/quote", Pool: "pool", Idempotent: true, DeadlineMs: 2000}},
 			{Spec: chivehillwire.RouteSpec{Route: "empty", PathPrefix: "/empty", Pool: "none", Idempotent: true, DeadlineMs: 2000}},
 		},
 	})
@@ -400,6 +401,31 @@
 	}
 }
 
+// TestRouteIsSelectedByTheDecodedPath guards against a request that needs a key, but is routed by
+// its decoded path to an idempotent route and so is sent without one.
+func TestRouteIsSelectedByTheDecodedPath(t *testing.T) {
+	tests := []struct {
+		path   string
+		reason string
+	}{
+		{"/write/quote/1", ""},
+		{"/write/quote/%20", ""},
+		{"/write/quote%2F1", "key-missing"},
+		{"/write/%71uote/1", "key-missing"},
+		{"/write/quote/../1", "key-missing"},
+		{"/write/quote/%2e%2e/1", "key-missing"},
+	}
+	for _, tt := range tests {
+		h := newHarness(t, testLimits, respondOK)
+		h.c.Check(h.get(tt.path, "").reason, qt.Equals, tt.reason, qt.Commentf("%s", tt.path))
+		runs := 0
+		if tt.reason == "" {
+			runs = 1
+		}
+		h.c.Check(h.totalRuns(), qt.Equals, runs, qt.Commentf("%s", tt.path))
+	}
+}
+
 // TestTruncatedRequestBodyConsumesKey closes the connection within the request
 // body. No server must get the request, and the key must stay claimed.
 func TestTruncatedRequestBodyConsumesKey(t *testing.T) {
