fix: a server's 503 for a charge that has run is not passed on as a promise

Cause: any failure of a server was returned for a request that is not idempotent, whatever its status promises. Idempotent requests get the server's status as before.

--- a/internal/chivehillgateway/refusals_test.go
+++ b/internal/chivehillgateway/refusals_test.go
@@ -281,6 +281,7 @@
 	{scenario{nonIdempotent: true, servers: handlers{neverRespond}}, chivehillreason.ServerSilent, chivehillreason.Unknown, 504},
 	{scenario{nonIdempotent: true, servers: handlers{unsigned}}, chivehillreason.ServerSpoiled, chivehillreason.Unknown, 502},
 	{scenario{servers: handlers{failed}}, chivehillreason.ServerFailed, chivehillreason.Unknown, 502},
+	{scenario{nonIdempotent: true, servers: handlers{respond(503, "Signed: 1\r\n")}}, chivehillreason.ServerFailed, chivehillreason.Unknown, 502},
 }
 
 // retries has a test case for each reason of a retry.
--- a/internal/chivehillgateway/send.go
+++ b/internal/chivehillgateway/send.go
@@ -174,6 +174,9 @@
 	case response.Succeeded() && !response.Metadata.Signed:
 		c.mayHaveRun = true
 		return attemptResult{reason: chivehillreason.ServerSpoiled, retryable: c.route.Idempotent}, chivehillselector.Failed{}
+	case !c.route.Idempotent && chivehillreason.PromisesNotRun(response.Status):
+		c.mayHaveRun = true
+		return attemptResult{reason: chivehillreason.ServerFailed}, chivehillselector.Failed{}
 	case response.Status >= http.StatusInternalServerError && c.route.Idempotent && c.attempts < c.route.MaxAttempts && !c.mayHaveRun:
 		c.mayHaveRun = true
 		return attemptResult{reason: chivehillreason.ServerFailed, retryable: true}, chivehillselector.Failed{}
--- a/internal/chivehillreason/reason.go
+++ b/internal/chivehillreason/reason.go
@@ -94,6 +94,16 @@
 	return http.StatusBadGateway
 }
 
+// PromisesNotRun reports whether callers take a status to say that their request has not run
+// and will not run.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // Refusal is the error with which a request is refused. It carries no result from a
 // server.
 type Refusal struct {
