fix: a connection is idle since its last response

What callers would see: a kept connection closes soon after the response to a long request, long before the idle timeout; a request that is sent then crosses the close and has to be sent again. Cause: the idle timeout ran from the moment at which the host began to wait for the next request, which is before the response to the one at work. When it ended just after that response, the connection closed. Change: when the wait ends, the time since the last response counts, and the rest of it is waited for. In tests, a server's handler and limits are set before it serves, since the race detector found them set after.

--- a/internal/chivehillfront/body_test.go
+++ b/internal/chivehillfront/body_test.go
@@ -29,8 +29,9 @@
 
 func (bodySizeHandler) Idempotent(*Request) bool { return true }
 
-// startServer serves callers on loopback until the test ends.
-func startServer(t *testing.T, bodyLimit chivehillid.Bytes, maxBodyMemory int64) (s *Server, address string) {
+// startServer serves callers on loopback until the test ends. Changes are made to the server
+// before it serves.
+func startServer(t *testing.T, bodyLimit chivehillid.Bytes, maxBodyMemory int64, changes ...func(*Server)) (s *Server, address string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
@@ -40,6 +41,9 @@
 			return chivehillcatalog.Limits{HeaderBytes: 4 << 10, BodyBytes: bodyLimit, HeaderTimeout: 300, IdleTimeout: 5000}
 		},
 	}
+	for _, change := range changes {
+		change(s)
+	}
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
--- a/internal/chivehillfront/conn.go
+++ b/internal/chivehillfront/conn.go
@@ -54,6 +54,8 @@
 	// pending is the number of requests without a written response, including
 	// one that is being read.
 	pending int
+	// idleSince is when the last response was written.
+	idleSince time.Time
 	// closed is set once no further request is read. It is set only while no request is
 	// being read.
 	closed bool
@@ -262,14 +264,18 @@
 	return nil
 }
 
-// handleIdleTimeout returns errIdle, or waits again if a response is pending.
+// handleIdleTimeout returns errIdle, or waits again if a response is pending or the last one
+// was written later than the idle timeout ago.
 func (c *conn) handleIdleTimeout() error {
+	left := c.server.Limits().IdleTimeout
 	c.mu.Lock()
-	busy := c.pending > 0
-	c.closed = c.closed || !busy
+	if c.pending == 0 {
+		left -= chivehillclock.FromDuration(time.Since(c.idleSince))
+	}
+	c.closed = c.closed || left <= 0
 	c.mu.Unlock()
-	if busy {
-		return c.awaitFirstByte(c.server.Limits().IdleTimeout)
+	if left > 0 {
+		return c.awaitFirstByte(left)
 	}
 	return errIdle
 }
--- a/internal/chivehillfront/stop_test.go
+++ b/internal/chivehillfront/stop_test.go
@@ -16,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"github.com/chivehill/chivehill/internal/chivehillcatalog"
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 )
 
@@ -51,9 +52,8 @@
 // startWorkServer serves callers with a workHandler until the test ends.
 func startWorkServer(t *testing.T) (s *Server, h *workHandler, c net.Conn) {
 	t.Helper()
-	s, address := startServer(t, 1000, 1<<20)
 	h = &workHandler{}
-	s.Handler = h
+	s, address := startServer(t, 1000, 1<<20, func(s *Server) { s.Handler = h })
 	c, err := net.Dial("tcp", address)
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = c.Close() })
@@ -209,3 +209,31 @@
 		}
 	})
 }
+
+// TestConnectionIsClosedSoonAfterALongRequest guards against an idle timeout that runs while a
+// request is at work, so that callers reuse a connection in the moment in which it closes.
+func TestConnectionIsClosedSoonAfterALongRequest(t *testing.T) {
+	const idle = 300 * chivehillclock.Millisecond
+	_, address := startServer(t, 1000, 1<<20, func(s *Server) {
+		s.Handler = &workHandler{}
+		s.Limits = func() chivehillcatalog.Limits {
+			return chivehillcatalog.Limits{HeaderBytes: 4 << 10, BodyBytes: 1000, HeaderTimeout: 300, IdleTimeout: idle}
+		}
+	})
+	c, err := net.Dial("tcp", address)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for range 3 {
+		_, err := io.WriteString(c, requestLine("GET", "/1/250"))
+		qt.Assert(t, err, qt.IsNil)
+		response, err := http.ReadResponse(reader, nil)
+		qt.Assert(t, err, qt.IsNil)
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		time.Sleep((idle / 2).Duration())
+	}
+	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	_, err = reader.ReadByte()
+	qt.Assert(t, err, qt.Equals, io.EOF)
+}
--- a/internal/chivehillfront/write.go
+++ b/internal/chivehillfront/write.go
@@ -44,6 +44,7 @@
 		close(e.written)
 		c.mu.Lock()
 		c.pending--
+		c.idleSince = time.Now()
 		c.mu.Unlock()
 	}
 }
