fix: a body after a long request is not taken for cut off

What callers would see: on a kept connection, a request with a body that follows one which lasted longer than the idle timeout was dropped, and the connection closed without an answer. Cause: limitReader kept its last read error for good. While a response is pending the idle timeout does not close the connection, but leaves such an error, and a body shorter than the read buffer ends in the same way as one that was cut off; the kept error decided between the two. Change: the error is of the request that is read; it is reset when the connection begins to wait for it. Test: TestBodyAfterALongRequestLooksCutOff, with a length and with chunks; "unexpected EOF" before.

--- a/internal/chivehillfront/body_test.go
+++ b/internal/chivehillfront/body_test.go
@@ -140,3 +140,33 @@
 	}
 	t.Fatalf("condition not met within 2 s: %s", name)
 }
+
+// TestBodyAfterALongRequestLooksCutOff guards against a body that counts as cut off because an
+// earlier request of its connection lasted longer than the idle timeout.
+func TestBodyAfterALongRequestLooksCutOff(t *testing.T) {
+	bodies := []string{
+		"Content-Length: 2\r\n\r\nok",
+		"Transfer-Encoding: chunked\r\n\r\n" + encodeChunk(2) + lastChunk,
+	}
+	for _, body := range bodies {
+		_, address := startServer(t, 1000, 1<<20, func(s *Server) {
+			s.Handler = &workHandler{}
+			s.Limits = func() chivehillcatalog.Limits {
+				return chivehillcatalog.Limits{HeaderBytes: 4 << 10, BodyBytes: 1000, HeaderTimeout: 300, IdleTimeout: 300}
+			}
+		})
+		c, err := net.Dial("tcp", address)
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = c.Close() }()
+		reader := bufio.NewReader(c)
+		for _, text := range []string{requestLine("GET", "/1/700"), "POST /2/1 HTTP/1.1\r\nHost: h\r\n" + body} {
+			_, err := io.WriteString(c, text)
+			qt.Assert(t, err, qt.IsNil)
+			response, err := http.ReadResponse(reader, nil)
+			qt.Assert(t, err, qt.IsNil, qt.Commentf("%q", text))
+			qt.Assert(t, response.StatusCode, qt.Equals, http.StatusOK)
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+	}
+}
--- a/internal/chivehillfront/conn.go
+++ b/internal/chivehillfront/conn.go
@@ -245,6 +245,7 @@
 // awaitFirstByte waits for the next request. Until its first byte arrives, the
 // connection is idle.
 func (c *conn) awaitFirstByte(idle chivehillclock.Millis) error {
+	c.limit.readErr = nil
 	if c.reader.Buffered() == 0 {
 		_ = c.raw.SetReadDeadline(time.Now().Add(idle.Duration()))
 	}
@@ -314,7 +315,9 @@
 type limitReader struct {
 	reader    io.Reader
 	remaining int64
-	readErr   error
+	// readErr is nil while no read has failed since the connection began to wait for the
+	// request that is read.
+	readErr error
 }
 
 // Read implements io.Reader.
