fix: a late update does not bring back what was removed

What callers would see: a server that has left gets requests again at a host, a failure domain that was taken out and back stays out, until the next change of the servers or withdrawals. Cause: three of four hosts logged the registration of revision 10 alone, "as of 12". They had taken over 12 from a peer's heartbeat, whose records were the same as theirs: the peer had seen the server come and go. Their own answers of 10 came after that, and a record that is not held counted as new whatever the collection was known to be complete up to. Ruled out: that the store's answer lacked the removal (the first host's has it), and that a host did not know the server. Change: a record that is not held, of an update no newer than what is known, was removed before and is ignored (records.knowsRemoved). An update of changes is passed on whole, with its own claim; what a list changed is passed on without one (records.passOn), so that a peer that differs asks for the collection, as it does after a gap. The updates of TestOnlyChangedRecordsAreDecoded are as of successive revisions now: they all claimed to be complete up to the last, which no store says; its assertions are as they were.

--- a/internal/chivehillcatalog/catalog.go
+++ b/internal/chivehillcatalog/catalog.go
@@ -149,15 +149,22 @@
 	return s.records.snapshot()
 }
 
-// Apply merges an update into a collection and returns the changes that took effect.
+// Apply merges an update into a collection and returns what peers are to learn of it: no
+// records if it changed nothing.
 func (c *Catalog) Apply(name Collection, u Update) Update {
-	return c.change(name, u.Settled, func(r *records) []change { return r.apply(time.Now(), u) })
+	return c.change(name, func(r *records) ([]change, Update) {
+		changes := r.apply(time.Now(), u)
+		return changes, r.passOn(u, changes)
+	})
 }
 
 // Settle gives up the records that the store lacks since it came back from a copy in the
 // given era, and returns the changes.
 func (c *Catalog) Settle(name Collection, era Era) Update {
-	return c.change(name, true, func(r *records) []change { return r.settle(time.Now(), era) })
+	return c.change(name, func(r *records) ([]change, Update) {
+		changes := r.settle(time.Now(), era)
+		return changes, r.news(changes, true)
+	})
 }
 
 // Returned returns the records that were removed before the store came back from a copy,
@@ -169,19 +176,13 @@
 	return slices.Collect(maps.Values(s.records.copied.removed))
 }
 
-// change changes the records of a collection and returns the changes that took effect.
-func (c *Catalog) change(name Collection, settled bool, apply func(*records) []change) Update {
+// change changes the records of a collection. It returns what apply returns for peers.
+func (c *Catalog) change(name Collection, apply func(*records) (changes []change, forPeers Update)) Update {
 	s := c.collections[name]
 	s.mu.Lock()
-	wasSynced, previousAsOf := s.records.synced, s.records.asOf
-	changes := apply(s.records)
+	wasSynced := s.records.synced
+	changes, forPeers := apply(s.records)
 	copiedEra := s.records.copied.beginWaiting()
-	delta := Update{Since: previousAsOf, AsOf: s.records.asOf, EraStart: s.records.copied.start, Settled: settled}
-	for _, e := range changes {
-		record := e.record
-		record.Deleted = e.removed
-		delta.Records = append(delta.Records, record)
-	}
 	changed := len(changes) > 0 || wasSynced != s.records.synced
 	if changed {
 		c.rebuild(name, s.records, changes)
@@ -194,7 +195,7 @@
 	if copiedEra != 0 && c.OnCopied != nil {
 		c.OnCopied(name, copiedEra)
 	}
-	return delta
+	return forPeers
 }
 
 // rebuild replaces the part of the view that is derived from a collection. The
--- a/internal/chivehillcatalog/catalog_test.go
+++ b/internal/chivehillcatalog/catalog_test.go
@@ -98,6 +98,48 @@
 	}
 }
 
+// TestRecordThatWasRemovedReturnsWithALateUpdate guards against a record that a host holds until
+// the store's next change, although it knows the collection up to its removal: it never saw the
+// record, and a source that lags behind brings it.
+func TestRecordThatWasRemovedReturnsWithALateUpdate(t *testing.T) {
+	known := Record{Name: "known", Revision: 5, Data: []byte("x")}
+	added := Record{Name: "a", Revision: 10, Data: []byte("x")}
+	upTo12 := func(c *Catalog, name Collection) {
+		// A peer that saw the record come and go has the same records as before.
+		_, digest := c.State(name)
+		c.Confirm(name, 12, digest)
+	}
+	tests := []struct {
+		about string
+		learn func(*Catalog, Collection)
+		late  Update
+		held  bool
+	}{
+		{"confirmed by a peer, late answer of the store", upTo12, Update{FromStore: true, Since: 9, AsOf: 10, Records: []Record{added}}, false},
+		{"confirmed by a peer, late update of another peer", upTo12, Update{Since: 9, AsOf: 10, Records: []Record{added}}, false},
+		{"confirmed by a peer, update of a peer that holds it by mistake", upTo12, Update{Since: 12, AsOf: 12, Records: []Record{added}}, false},
+		{"confirmed by a peer, late list", upTo12, Update{Full: true, FromStore: true, AsOf: 10, Records: []Record{known, added}}, false},
+		{"listed, late update", func(c *Catalog, name Collection) {
+			c.Apply(name, Update{Full: true, FromStore: true, AsOf: 12, Records: []Record{known}})
+		}, Update{FromStore: true, Since: 9, AsOf: 10, Records: []Record{added}}, false},
+		{"news", upTo12, Update{FromStore: true, Since: 12, AsOf: 13, Records: []Record{{Name: "a", Revision: 13, Data: []byte("x")}}}, true},
+		{"news after a gap", upTo12, Update{Since: 14, AsOf: 15, Records: []Record{{Name: "a", Revision: 15, Data: []byte("x")}}}, true},
+		{"newer list with an older record", upTo12, Update{Full: true, AsOf: 13, Records: []Record{known, added}}, true},
+		{"own entry, without a revision up to which it is complete", upTo12, Update{Records: []Record{{Name: "a", Revision: 13, Data: []byte("x")}}}, true},
+	}
+	for _, tt := range tests {
+		for _, name := range Collections {
+			c := newVersionCatalog()
+			c.Apply(name, Update{Full: true, FromStore: true, AsOf: 9, Records: []Record{known}})
+			tt.learn(c, name)
+			passedOn := c.Apply(name, tt.late)
+			_, held := c.Record(name, "a")
+			qt.Check(t, held, qt.Equals, tt.held, qt.Commentf("%s: %s", name, tt.about))
+			qt.Check(t, len(passedOn.Records) > 0, qt.Equals, tt.held, qt.Commentf("%s: %s", name, tt.about))
+		}
+	}
+}
+
 func newVersionCatalog() *Catalog {
 	return New(Options{Decoder: versionDecoder{}, Log: zerolog.Nop()})
 }
@@ -185,11 +227,11 @@
 	c := New(Options{Decoder: countingDecoder{servers: &decoded}, Log: zerolog.Nop()})
 	c.Apply(Servers, all)
 	qt.Assert(t, decoded, qt.Equals, known)
-	for _, tt := range tests {
+	for i, tt := range tests {
 		decoded = 0
 		before := c.View().Servers
 		size := len(before)
-		c.Apply(Servers, Update{Since: known, AsOf: known + 9, Records: tt.records})
+		c.Apply(Servers, Update{Since: known, AsOf: Revision(known + 1 + i), Records: tt.records})
 		qt.Check(t, decoded, qt.Equals, tt.decoded, qt.Commentf("%s", tt.about))
 		qt.Check(t, c.View().Servers, qt.HasLen, tt.servers, qt.Commentf("%s", tt.about))
 		qt.Check(t, before, qt.HasLen, size, qt.Commentf("%s: an earlier view must not change", tt.about))
--- a/internal/chivehillcatalog/copied.go
+++ b/internal/chivehillcatalog/copied.go
@@ -1,6 +1,9 @@
 package chivehillcatalog
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // copied is what the first list of an era says otherwise than the records held. The store
 // made it from an older copy, and its writers write again what the copy lacks. Until then
@@ -37,6 +40,11 @@
 	}
 }
 
+// mayContain reports whether a record of an update may stem from the copy.
+func (c *copied) mayContain(u Update) bool {
+	return slices.ContainsFunc(u.Records, func(e Record) bool { return !e.Deleted && e.Revision <= c.start })
+}
+
 // beginWaiting returns the era if its writers have to be waited for from now on, else 0.
 func (c *copied) beginWaiting() Era {
 	if len(c.older)+len(c.missing) == 0 || c.waitingFor == c.start.Era() {
--- a/internal/chivehillcatalog/records.go
+++ b/internal/chivehillcatalog/records.go
@@ -72,7 +72,7 @@
 			changes = r.remove(now, changes, e.Name, revision)
 			continue
 		}
-		if r.isNewer(e) {
+		if r.isNewer(e) && !r.knowsRemoved(e, u.AsOf) {
 			changes = r.put(changes, e)
 		}
 	}
@@ -121,6 +121,13 @@
 	return !found || e.Revision > removal.revision
 }
 
+// knowsRemoved reports whether a record that is not held, of an update as of a revision, was
+// removed before: the collection is complete up to a revision that is not older than either.
+func (r *records) knowsRemoved(e Record, asOf Revision) bool {
+	_, held := r.live[e.Name]
+	return r.synced && !held && max(e.Revision, asOf) <= r.asOf
+}
+
 // remove removes a record unless it was changed after revision.
 func (r *records) remove(now time.Time, changes []change, name string, revision Revision) []change {
 	old, found := r.live[name]
@@ -143,6 +150,28 @@
 	}
 }
 
+// passOn returns what peers are to learn of an applied update that made the given changes. An
+// update of changes is passed on whole: what this collection knew before, a peer may lack, and
+// the update's claim to be complete would not hold without it.
+func (r *records) passOn(u Update, changes []change) Update {
+	if len(changes) == 0 || u.Full || r.copied.mayContain(u) {
+		return r.news(changes, u.Settled)
+	}
+	return Update{Since: u.Since, AsOf: u.AsOf, EraStart: r.copied.start, Settled: u.Settled, Records: u.Records}
+}
+
+// news returns changes of this collection for peers. It does not claim to be complete since an
+// earlier revision: a peer may have held other records than this collection.
+func (r *records) news(changes []change, settled bool) Update {
+	u := Update{Since: r.asOf, AsOf: r.asOf, EraStart: r.copied.start, Settled: settled}
+	for _, e := range changes {
+		record := e.record
+		record.Deleted = e.removed
+		u.Records = append(u.Records, record)
+	}
+	return u
+}
+
 // snapshot returns the live records as a full update.
 func (r *records) snapshot() Update {
 	u := Update{Full: true, AsOf: r.asOf, EraStart: r.copied.start, Settled: r.copied.settled == r.copied.start.Era()}
--- a/internal/chivehillcatalog/records_test.go
+++ b/internal/chivehillcatalog/records_test.go
@@ -176,8 +176,9 @@
 }
 
 // checkComplete fails if r lacks a change at or before the revision up to which
-// it claims to be complete.
-func (s *modelStore) checkComplete(t *rapid.T, r *records) {
+// it claims to be complete, or holds a record that was removed by then. A record may be missing
+// if its removal after that revision is known.
+func (s *modelStore) checkComplete(t *rapid.T, r *records, knowsRemoval func(name string) bool) {
 	expected := make(map[string]Revision)
 	for _, u := range s.history {
 		e := u.Records[0]
@@ -189,11 +190,14 @@
 			expected[e.Name] = e.Revision
 		}
 	}
+	for name, e := range r.live {
+		if _, found := expected[name]; !found && e.Revision <= r.asOf {
+			t.Fatalf("collection is complete up to revision %d, but holds record %s of revision %d, which was removed by then", r.asOf, name, e.Revision)
+		}
+	}
 	for name, revision := range expected {
 		_, live := r.live[name]
-		// A removal after asOf may be known already.
-		removedLater := r.tombstones[name].revision > r.asOf
-		if r.live[name].Revision < revision && (live || !removedLater) {
+		if r.live[name].Revision < revision && (live || !knowsRemoval(name)) {
 			t.Fatalf("collection is complete up to revision %d, but record %s at revision %d is missing", r.asOf, name, revision)
 		}
 	}
@@ -240,7 +244,7 @@
 				}
 			}
 			if r.synced {
-				store.checkComplete(t, r)
+				store.checkComplete(t, r, func(name string) bool { return r.tombstones[name].revision > r.asOf })
 			}
 			for name, e := range r.live {
 				if e.Revision < seen[name] {
--- a/internal/chivehillcatalog/restore_test.go
+++ b/internal/chivehillcatalog/restore_test.go
@@ -77,14 +77,7 @@
 }
 
 func (p *replica) apply(t *rapid.T, u Update) {
-	before := p.records.asOf
-	p.delta = Update{Since: before}
-	for _, c := range p.records.apply(time.Now(), u) {
-		record := c.record
-		record.Deleted = c.removed
-		p.delta.Records = append(p.delta.Records, record)
-	}
-	p.delta.AsOf, p.delta.EraStart = p.records.asOf, p.records.copied.start
+	p.delta = p.records.passOn(u, p.records.apply(time.Now(), u))
 	for name, e := range p.records.live {
 		write, err := strconv.Atoi(string(e.Data))
 		if err != nil {
