fix: a removal of a record that is not held is remembered

What callers would see: after the store came back from a copy, a server that had left is used by a host that never held it. Change: what an update says of a record that is known to be gone, and a removal of one that is not held, is remembered as other removals are, for a minute (records.rememberRemoval).

--- a/internal/chivehillcatalog/copied_test.go
+++ b/internal/chivehillcatalog/copied_test.go
@@ -101,6 +101,33 @@
 	}
 }
 
+// TestCopyBringsBackWhatOnlyAPeerHeld guards against a removed record that returns with a copy of the
+// store, because this host had taken over from a peer that the record was gone.
+func TestCopyBringsBackWhatOnlyAPeerHeld(t *testing.T) {
+	came, left := Record{Name: "a", Revision: 10}, Record{Name: "a", Revision: 10, Deleted: true}
+	tests := []struct {
+		about string
+		news  []Update
+	}{
+		{"the changes come late", []Update{{Since: 9, AsOf: 12, Records: []Record{came, left}}}},
+		{"the record comes late", []Update{{Since: 9, AsOf: 10, Records: []Record{came}}}},
+		{"the removal comes alone", []Update{{Since: 11, AsOf: 12, Records: []Record{left}}}},
+	}
+	for _, tt := range tests {
+		c := newVersionCatalog()
+		c.Apply(Servers, Update{Full: true, FromStore: true, AsOf: 9})
+		_, digest := c.State(Servers)
+		c.Confirm(Servers, 12, digest)
+		for _, u := range tt.news {
+			c.Apply(Servers, u)
+		}
+		start := NewRevision(1, 10)
+		c.Apply(Servers, Update{Full: true, FromStore: true, AsOf: start, Records: []Record{{Name: "a", Revision: start, Data: []byte("x")}}})
+		_, held := c.Record(Servers, "a")
+		qt.Check(t, held, qt.IsFalse, qt.Commentf("%s", tt.about))
+	}
+}
+
 func TestRevisionsOfALaterEraRankFirst(t *testing.T) {
 	qt.Assert(t, NewRevision(1, 3) > NewRevision(0, 900), qt.IsTrue)
 	qt.Assert(t, NewRevision(2, 3).Era(), qt.Equals, Era(2))
--- a/internal/chivehillcatalog/records.go
+++ b/internal/chivehillcatalog/records.go
@@ -72,7 +72,11 @@
 			changes = r.remove(now, changes, e.Name, revision)
 			continue
 		}
-		if r.isNewer(e) && !r.knowsRemoved(e, u.AsOf) {
+		switch {
+		case !r.isNewer(e):
+		case r.knowsRemoved(e, u.AsOf):
+			r.rememberRemoval(now, e.Name, r.asOf)
+		default:
 			changes = r.put(changes, e)
 		}
 	}
@@ -128,19 +132,29 @@
 	return r.synced && !held && max(e.Revision, asOf) <= r.asOf
 }
 
-// remove removes a record unless it was changed after revision.
+// remove removes a record unless it was changed after revision. The removal of one that is not
+// held is remembered as well: a source that lags behind may bring the record.
 func (r *records) remove(now time.Time, changes []change, name string, revision Revision) []change {
 	old, found := r.live[name]
-	if !found || old.Revision > revision {
+	if found && old.Revision > revision {
+		return changes
+	}
+	r.rememberRemoval(now, name, revision)
+	if !found {
 		return changes
 	}
 	delete(r.live, name)
 	r.copied.forget(name)
 	r.digest ^= old.digest()
-	r.tombstones[name] = tombstone{revision: revision, removedAt: now}
 	return append(changes, change{record: old, removed: true})
 }
 
+// rememberRemoval remembers that a record was removed by the given revision.
+func (r *records) rememberRemoval(now time.Time, name string, revision Revision) {
+	revision = max(revision, r.tombstones[name].revision)
+	r.tombstones[name] = tombstone{revision: revision, removedAt: now}
+}
+
 // expireTombstones drops tombstones older than tombstoneTTL.
 func (r *records) expireTombstones(now time.Time) {
 	for name, t := range r.tombstones {
