review: case 6, hosts act on an old version while the store is silent to the watchers

The hosts that watch the configuration take 2.1 s to notice that the store has gone silent and to ask others, more than configApplyS.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -28,6 +28,7 @@
 }
 
 var cases = map[string]func(options) (bool, error){
+	"silent-watchers":         silentWatchers,
 	"poison-caller-leaves":    poisonCallerLeaves,
 	"poison-rolling":          poisonRolling,
 	"directory-after-restart": directoryAfterRestart,
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -24,8 +24,10 @@
 type arrival struct {
 	at     time.Time
 	server string
-	id     string
-	path   string
+	// service is that of the server.
+	service string
+	id      string
+	path    string
 	// ran is set if the server began to run the request.
 	ran bool
 	// crashed is set if that crashed the server, at crashedAt.
@@ -192,7 +194,7 @@
 		return s.write(c, "", http.StatusOK, "", "")
 	}
 	id := r.Header.Get("X-Chivehill-Request-Id")
-	a := &arrival{at: time.Now(), server: s.id, id: id, path: r.URL.Path}
+	a := &arrival{at: time.Now(), server: s.id, service: s.service, id: id, path: r.URL.Path}
 	s.ledger.add(a)
 	if expected := r.Header.Get("X-Chivehill-Expect-Instance"); expected != "" && expected != s.id {
 		return s.write(c, id, http.StatusMisdirectedRequest, "", "X-Chivehill-Not-Executed: 1\r\n")
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sort"
 	"strconv"
@@ -39,17 +40,24 @@
 const listPage = 500
 
 // store is a stand-in of the platform's store: objects by kind and name, one revision counter,
-// lists, watches and conditional changes. It has no faults of its own.
+// lists, watches and conditional changes. Its only fault is silence to some callers.
 type store struct {
 	mu      sync.Mutex
 	rev     uint64
 	objects map[string]map[string]object
 	events  []event
 	changed chan struct{}
+	// silentTo holds the callers that get no answers, and watchers the callers of the watches
+	// of config that wait now.
+	silentTo map[string]bool
+	watchers map[string]int
 }
 
 func newStore() *store {
-	return &store{rev: 100, objects: make(map[string]map[string]object), changed: make(chan struct{})}
+	return &store{
+		rev: 100, objects: make(map[string]map[string]object), changed: make(chan struct{}),
+		silentTo: make(map[string]bool), watchers: make(map[string]int),
+	}
 }
 
 // put writes an object as the operator or a server does. A nil spec or status stays as it is. A
@@ -83,6 +91,41 @@
 	s.remove(kind, name)
 }
 
+// callerOf returns the name by which a host calls the store.
+func callerOf(r *http.Request) string { return r.Header.Get("User-Agent") }
+
+// beSilentTo answers no calls of some callers from now on, nor those that wait.
+func (s *store) beSilentTo(callers []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.silentTo)
+	for _, c := range callers {
+		s.silentTo[c] = true
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) isSilentTo(r *http.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silentTo[callerOf(r)]
+}
+
+// configWatchers returns the callers whose watches of config wait.
+func (s *store) configWatchers() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var callers []string
+	for c, n := range s.watchers {
+		if n > 0 {
+			callers = append(callers, c)
+		}
+	}
+	sort.Strings(callers)
+	return callers
+}
+
 func encode(v any) json.RawMessage {
 	data, err := json.Marshal(v)
 	if err != nil {
@@ -147,6 +190,11 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	if s.isSilentTo(r) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		return
+	}
 	kind, name, _ := strings.Cut(path, "/")
 	switch r.Method {
 	case http.MethodGet:
@@ -195,6 +243,16 @@
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
 	since, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	if kind == "config" {
+		s.mu.Lock()
+		s.watchers[callerOf(r)]++
+		s.mu.Unlock()
+		defer func() {
+			s.mu.Lock()
+			s.watchers[callerOf(r)]--
+			s.mu.Unlock()
+		}()
+	}
 	timer := time.NewTimer(time.Duration(min(wait, 30_000)) * time.Millisecond)
 	defer timer.Stop()
 	for over := false; ; {
@@ -205,8 +263,12 @@
 				events = append(events, e)
 			}
 		}
-		asOf, changed := s.rev, s.changed
+		asOf, changed, silent := s.rev, s.changed, s.silentTo[callerOf(r)]
 		s.mu.Unlock()
+		if silent {
+			<-r.Context().Done()
+			return
+		}
 		if len(events) > 0 || over {
 			answer(w, http.StatusOK, map[string]any{"events": events, "asOf": asOf})
 			return
