--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -138,15 +137,26 @@
 	ended   chan struct{}
 }
 
-// freeAddress returns an address on which nothing listens. Its port is below those that the
-// system gives to outgoing connections.
+// nextPort is the port after the one that was given out last. Each run has a range of its own, so that
+// runs beside one another do not take the port of a host that is just being restarted. All ports are
+// below those that the system gives to outgoing connections.
+var nextPort = 10_000 + portsPerRun*(os.Getpid()%portRuns)
+
+const (
+	portsPerRun = 100
+	portRuns    = 200
+)
+
+// freeAddress returns an address on which nothing listens.
 func freeAddress() (string, error) {
-	for {
-		address := fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000))
+	for range portsPerRun {
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		nextPort++
 		if l, err := net.Listen("tcp", address); err == nil {
 			return address, l.Close()
 		}
 	}
+	return "", errNoPort
 }
 
 // addHosts starts entry hosts as deploy/system.toml does, one in each of the given zones.
@@ -257,7 +267,10 @@
 	return h.start()
 }
 
-var errNotReady = errors.New("not ready in time")
+var (
+	errNotReady = errors.New("not ready in time")
+	errNoPort   = errors.New("no free port")
+)
 
 // awaitReady waits until the host says that it is ready.
 func (h *host) awaitReady(timeout time.Duration) error {
