fix: the store's silence to the watching hosts has one deadline

Cause: each wait counted for itself: 1.0 s for the watch, 0.8 s until it was cancelled, 0.25 s until that counted, up to 0.1 s for the tick of each side. Two delegates that were turned away as well replaced one another for ever.

Ruled out: a delegate that gets no answers (it has them within 10 ms in the script), a version passed on late (30 ms).

An answer is due when its watch should have ended; a quarter of what is left later another host is asked. Peers act on what a heartbeat says of it at once. Hosts asked in vain are asked again last, after three at the pace of before.

--- a/internal/chivehillhost/host.go
+++ b/internal/chivehillhost/host.go
@@ -130,7 +130,7 @@
 		Suspects: h.suspects, MarkLeaving: h.table.MarkLeaving, Trials: h.rollouts.trials(), Self: h.self, FirstStart: s.FirstStart, Seeds: nonEmpty(s.SeedAddresses), Catalog: h.catalog, Clock: h.clock, Log: log, Contact: h.watcher.LastContact, StoreUnreachable: h.watcher.Unreachable,
 		SetWatch: h.setWatching, DownChanged: h.onDownChange,
 	})
-	h.watcher.OnUpdate = h.relay.Publish
+	h.watcher.OnUpdate, h.watcher.OnOverdue = h.relay.Publish, h.relay.Wake
 	h.plan = chivehillbudget.NewPlan(s.MemoryMb)
 	descriptors := chivehillbudget.NewDescriptors(descriptors())
 	h.pools = chivehillgateway.NewPools(p.Headers, h.plan.Responses)
--- a/internal/chivehillrelay/decide.go
+++ b/internal/chivehillrelay/decide.go
@@ -116,6 +116,8 @@
 	// Delegate is the host that was last asked to watch the store in place of this
 	// one.
 	Delegate chivehillid.HostID
+	// Asked holds the hosts asked so since the store last answered this one.
+	Asked delegations
 }
 
 // byPriority returns the hosts of a failure domain, the preferred leader first.
@@ -197,36 +199,6 @@
 	return d
 }
 
-// delegate returns the peer of the region that should watch the store in place
-// of this host: the previous delegate unless it reports that the store does not
-// answer it, else the peer with the highest priority that does not report so.
-func (s State) delegate() chivehillid.HostID {
-	var candidates []chivehillid.HostID
-	for id, p := range s.Peers {
-		if p.Host.Region == s.Self.Region && p.Live && p.HasHeartbeat && !p.Leaving && !p.StoreUnreachable {
-			candidates = append(candidates, id)
-		}
-	}
-	if len(candidates) == 0 {
-		return ""
-	}
-	if slices.Contains(candidates, s.Delegate) {
-		return s.Delegate
-	}
-	return slices.MinFunc(candidates, func(a, b chivehillid.HostID) int { return comparePriority(s.Hosts[a], s.Hosts[b]) })
-}
-
-// isDelegate reports whether a live peer asks this host to watch the store in its
-// place.
-func (s State) isDelegate() bool {
-	for _, p := range s.Peers {
-		if p.Live && p.Delegate == s.Self.ID {
-			return true
-		}
-	}
-	return false
-}
-
 // isFirstInRegion reports whether no host precedes this one in its failure domain
 // and no failure domain precedes its own in the region.
 func (s State) isFirstInRegion(precedingHosts []chivehillcatalog.Host) bool {
--- a/internal/chivehillrelay/link.go
+++ b/internal/chivehillrelay/link.go
@@ -155,7 +155,9 @@
 			return err
 		}
 		for _, m := range parts {
-			l.recordReceived(m)
+			if l.recordReceived(m) {
+				l.relay.Wake()
+			}
 			l.relay.receive(l, m)
 		}
 	}
@@ -206,14 +208,19 @@
 	}
 }
 
-func (l *link) recordReceived(m chivehillwire.RelayMessage) {
+// recordReceived records a message and reports whether the peer's heartbeat may change which
+// hosts watch the store.
+func (l *link) recordReceived(m chivehillwire.RelayMessage) (changed bool) {
 	now := l.relay.Clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.receivedAt = now
-	if m.Beat != nil {
-		l.heartbeat, l.heartbeatAt = m.Beat, now
+	if m.Beat == nil {
+		return false
 	}
+	old := l.heartbeat
+	l.heartbeat, l.heartbeatAt = m.Beat, now
+	return old != nil && (old.Lost != m.Beat.Lost || old.Delegate != m.Beat.Delegate)
 }
 
 // state returns the state of the peer at the time now.
--- a/internal/chivehillrelay/relay.go
+++ b/internal/chivehillrelay/relay.go
@@ -86,6 +86,7 @@
 	// watching is whether this host has to watch the store, as last passed to SetWatch.
 	watching         bool
 	storeUnreachable bool
+	asked            delegations
 	leaderSince      chivehillclock.Millis
 	lastFollowedAt   chivehillclock.Millis
 	leaving          bool
@@ -217,7 +218,7 @@
 		s.ContactAt, s.HasContact = at, true
 	}
 	s.HasAllCollections = r.hasAllCollections()
-	s.StoreUnreachable, s.Delegate = r.watching && r.StoreUnreachable(), r.decision.Delegate
+	s.StoreUnreachable, s.Delegate, s.Asked = r.watching && r.StoreUnreachable(), r.decision.Delegate, r.asked
 	for key, l := range r.links {
 		p := l.state(now)
 		if old, found := s.Peers[key.id]; !found || p.Live && !old.Live || p.HasHeartbeat && !old.HasHeartbeat {
@@ -257,7 +258,9 @@
 	watchChanged := d.Watch != r.watching
 	r.watching = d.Watch
 	r.closeUnneeded(s, d)
-	statusChanged := d.Delegate != s.Delegate || s.StoreUnreachable != r.storeUnreachable || d.Searching != r.decision.Searching
+	delegateChanged := d.Delegate != s.Delegate
+	r.recordDelegate(s, d)
+	statusChanged := delegateChanged || s.StoreUnreachable != r.storeUnreachable || d.Searching != r.decision.Searching
 	r.storeUnreachable = s.StoreUnreachable
 	r.decision = d
 	crossRegionDue := s.Now-r.lastCrossRegionHeartbeat >= crossRegionHeartbeatPeriod
@@ -270,6 +273,9 @@
 	}
 	r.mu.Unlock()
 	r.apply(d, watchChanged, downChanged)
+	if delegateChanged {
+		r.Log.Info().Str("delegate", string(d.Delegate)).Str("previous", string(s.Delegate)).Int("asked", s.Asked.count).Float64("contact-age-ms", float64(s.Now-d.ContactAt)).Msg("relay: the host that watches the store in place of this one changed.")
+	}
 	for _, l := range r.allLinks() {
 		r.catchUp(l)
 	}
@@ -282,14 +288,22 @@
 	r.sendEvidence(s.Now, sameRegionDue, crossRegionDue)
 }
 
+// recordDelegate records which host is asked to watch the store in place of this one. The
+// caller holds r.mu.
+func (r *Relay) recordDelegate(s State, d Decision) {
+	switch {
+	case !s.StoreUnreachable:
+		r.asked = delegations{}
+	case d.Delegate != "" && d.Delegate != s.Delegate:
+		r.asked.record(s.Now, d.Delegate)
+	}
+}
+
 func (r *Relay) apply(d Decision, watchChanged, downChanged bool) {
 	if watchChanged {
 		r.Log.Info().Bool("watch", d.Watch).Float64("contact-age-ms", float64(r.Clock.Now()-d.ContactAt)).Msg("relay: this host started or stopped watching the store.")
 		r.SetWatch(d.Watch)
 	}
-	if d.Delegate != "" {
-		r.Log.Debug().Str("delegate", string(d.Delegate)).Msg("relay: asked another host to watch the store in place of this one.")
-	}
 	if downChanged {
 		r.Log.Info().Strs("down", sortedNames(d.Down)).Msg("relay: set of down hosts changed.")
 		r.DownChanged()
--- a/internal/chivehillwatcher/renew.go
+++ b/internal/chivehillwatcher/renew.go
@@ -28,24 +28,6 @@
 	chivehillcatalog.Hosts:       4 * chivehillclock.Second,
 }
 
-const (
-	// applyMargin is the part of the bound on configurations that remains for the next call
-	// and for passing a configuration on to all hosts.
-	applyMargin = 200 * chivehillclock.Millisecond
-	// minConfigurationWait keeps the number of calls low if the bound is short.
-	minConfigurationWait = 500 * chivehillclock.Millisecond
-)
-
-// configurationWait returns how long the store may hold a watch of the configuration. A watch
-// that the store never answers ends early enough for the next one to meet the bound.
-func (w *Watcher) configurationWait() chivehillclock.Millis {
-	if w.ConfigurationBound == nil {
-		return configurationWatchWait
-	}
-	left := w.ConfigurationBound() - watchSlack - applyMargin
-	return min(configurationWatchWait, max(minConfigurationWait, left))
-}
-
 // watch waits for changes of a collection. It returns errWatchRenewed if the watch has to be
 // opened again.
 func (w *Watcher) watch(ctx context.Context, c chivehillcatalog.Collection, since chivehillcatalog.Revision, wait chivehillclock.Millis) (chivehillcatalog.Update, error) {
--- a/internal/chivehillwatcher/watcher.go
+++ b/internal/chivehillwatcher/watcher.go
@@ -52,6 +52,9 @@
 	// OnUpdate is called with the changes of each update that took effect, in order
 	// within a collection.
 	OnUpdate func(chivehillcatalog.Collection, chivehillcatalog.Update)
+	// OnOverdue is called when Unreachable may have changed because an answer of the store is
+	// late. It may be nil.
+	OnOverdue func()
 
 	runMu sync.Mutex
 	// cancelRun ends the running loops. It is nil if there are none.
@@ -77,6 +80,7 @@
 	renewedAt map[chivehillcatalog.Collection]chivehillcatalog.Revision
 	// era is the highest era in an answer of the store.
 	era chivehillcatalog.Era
+	due dueAnswer
 }
 
 // Run lists and watches all collections until ctx ends.
@@ -99,6 +103,7 @@
 	}
 	w.mu.Lock()
 	w.markReachable()
+	w.clearDue()
 	w.mu.Unlock()
 	if !watch {
 		return
@@ -126,14 +131,14 @@
 	listStalledAfter = 700 * chivehillclock.Millisecond
 )
 
-// Unreachable reports whether the store is unreachable: calls have failed for
-// longer than unreachableAfter, or the lists in progress have stalled for longer
-// than listStalledAfter.
+// Unreachable reports whether the store is unreachable: its answer about the configuration is
+// late for the answer time, calls have failed for longer than unreachableAfter, or the lists in
+// progress have stalled for longer than listStalledAfter.
 func (w *Watcher) Unreachable() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.Clock.Now()
-	return w.unreachable && now-w.unreachableSince > unreachableAfter || w.listsInFlight > 0 && now-w.listProgressAt > listStalledAfter
+	return w.overdue(now) || w.unreachable && now-w.unreachableSince > unreachableAfter || w.listsInFlight > 0 && now-w.listProgressAt > listStalledAfter
 }
 
 // addListsInFlight adds to the number of lists in progress.
@@ -211,12 +216,24 @@
 // listOrWatch lists or watches a collection once.
 func (w *Watcher) listOrWatch(ctx context.Context, c chivehillcatalog.Collection, list bool) error {
 	since := w.Catalog.AsOf(c)
-	if list || since == 0 {
-		return w.list(ctx, c)
+	list = list || since == 0
+	if c != chivehillcatalog.Configurations {
+		return w.call(ctx, c, list, since, watchWait)
 	}
-	wait := watchWait
-	if c == chivehillcatalog.Configurations {
-		wait = w.configurationWait()
+	wait, due := w.configurationWait(), w.Clock.Now()
+	if !list {
+		due += wait
+	}
+	w.expectAnswer(due)
+	err := w.call(ctx, c, list, since, wait)
+	w.recordAnswer(err)
+	return err
+}
+
+// call lists a collection, or watches it from a revision for up to wait.
+func (w *Watcher) call(ctx context.Context, c chivehillcatalog.Collection, list bool, since chivehillcatalog.Revision, wait chivehillclock.Millis) error {
+	if list {
+		return w.list(ctx, c)
 	}
 	update, err := w.watch(ctx, c, since, wait)
 	w.countCall("watch", err)
