fix: a peer that connects is told what only hosts know

Cause: what only hosts know (requests that crash servers, servers that leave by their own word) was sent once, to the peers that were connected at that moment. Who connects later never heard.

Ruled out: told too late (4 s), an entry that had ended (60 s).

Change: the first message on each new connection holds all facts that still hold, with the time that is left to them. `chivehill serve` does the same on each connection, within the regions that a request is bound to; reports name the host that saw it.

--- a/internal/chivehillentry/flight.go
+++ b/internal/chivehillentry/flight.go
@@ -124,7 +124,7 @@
 // whether it may be sent again.
 func (e *Entry) recordKill(c *call) bool {
 	now := e.Clock.Now()
-	kills := e.Suspects.Record(now, c.fingerprint, e.Self.Host)
+	kills := e.Suspects.Record(now, c.fingerprint, e.Self.Host, c.regions)
 	e.Cluster.TellSuspect(c.fingerprint, kills, c.regions)
 	return !e.isSuspect(c)
 }
--- a/internal/chivehillgateway/gateway.go
+++ b/internal/chivehillgateway/gateway.go
@@ -56,6 +56,9 @@
 	Suspects *chivehillsuspect.Table
 	// Self is the identifier under which this host records kills in Suspects.
 	Self chivehillid.HostID
+	// Informed reports whether this host knows what its peers know, Suspects among it. It may be
+	// nil.
+	Informed func() bool
 	// OnKill is called when this host has recorded one more kill; kills is the
 	// number that this host has recorded for the fingerprint.
 	OnKill func(f chivehillid.Fingerprint, kills int)
--- a/internal/chivehillgateway/refusals_test.go
+++ b/internal/chivehillgateway/refusals_test.go
@@ -253,7 +253,7 @@
 	}
 	if s.suspect {
 		for range chivehillsuspect.KillLimitIdempotent {
-			g.Suspects.Record(g.Clock.Now(), fingerprint(r), "self")
+			g.Suspects.Record(g.Clock.Now(), fingerprint(r), "self", chivehillregion.Everywhere())
 		}
 	}
 	if s.stopping {
--- a/internal/chivehillgateway/start.go
+++ b/internal/chivehillgateway/start.go
@@ -20,23 +20,28 @@
 	startCheckInterval = 10 * chivehillclock.Millisecond
 )
 
+// holds reports whether requests wait because this host has just started.
+func (g *Gateway) holds(v chivehillcatalog.View) bool {
+	return !loaded(v) || g.Informed != nil && !g.Informed()
+}
+
 // loaded reports whether a host knows what it needs to serve requests.
 func loaded(v chivehillcatalog.View) bool {
 	return v.Configuration.Version > 0 && v.ServersSynced && v.WithdrawnSynced
 }
 
-// awaitLoaded returns the view once it is loaded. A host that starts has it within a fraction of
+// awaitLoaded returns the view once it is loaded and this host is informed. A host that starts has it within a fraction of
 // a second, while a refused caller would mostly come back to another host that starts too. If the
 // wait ends before, it returns the view as it is.
 func (g *Gateway) awaitLoaded(ctx context.Context, r *chivehillfront.Request) chivehillcatalog.View {
 	view := g.Catalog.View()
-	if loaded(view) {
+	if !g.holds(view) {
 		return view
 	}
 	end := r.Arrived + min(maxStartWait, startWaitFraction*g.timeout(r))
 	ticker := time.NewTicker(startCheckInterval.Duration())
 	defer ticker.Stop()
-	for g.Clock.Now() < end && g.stopAt.Load() == nil && !loaded(view) {
+	for g.Clock.Now() < end && g.stopAt.Load() == nil && g.holds(view) {
 		select {
 		case <-ctx.Done():
 			return view
--- a/internal/chivehillgateway/suspect.go
+++ b/internal/chivehillgateway/suspect.go
@@ -10,6 +10,7 @@
 	"github.com/chivehill/chivehill/internal/chivehillcatalog"
 	"github.com/chivehill/chivehill/internal/chivehillfront"
 	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillregion"
 	"github.com/chivehill/chivehill/internal/chivehillsuspect"
 	"github.com/chivehill/chivehill/internal/chivehillupstream"
 )
@@ -54,7 +55,7 @@
 	if !errors.Is(err, chivehillupstream.ErrNotSent) {
 		return
 	}
-	kills := g.Suspects.Record(g.Clock.Now(), c.fingerprint, g.Self)
+	kills := g.Suspects.Record(g.Clock.Now(), c.fingerprint, g.Self, chivehillregion.Everywhere())
 	g.Log.Warn().Str("request", string(c.id)).Str("server", string(server.ID)).Int("kills", kills).Msg("gateway: server is down after its connection broke during a request.")
 	g.OnKill(c.fingerprint, kills)
 }
--- a/internal/chivehillhost/host.go
+++ b/internal/chivehillhost/host.go
@@ -127,7 +127,7 @@
 	h.watcher.ConfigurationBound = func() chivehillclock.Millis { return seconds(h.bounds.Load().ConfigurationSeconds) }
 	h.suspects = chivehillsuspect.New()
 	h.relay = chivehillrelay.New(chivehillrelay.Options{
-		Suspects: h.suspects, MarkLeaving: h.table.MarkLeaving, Trials: h.rollouts.trials(), Self: h.self, FirstStart: s.FirstStart, Seeds: nonEmpty(s.SeedAddresses), Catalog: h.catalog, Clock: h.clock, Log: log, Contact: h.watcher.LastContact, StoreUnreachable: h.watcher.Unreachable,
+		Suspects: h.suspects, MarkLeaving: h.table.MarkLeaving, LeavingInstances: h.table.LeavingInstances, Trials: h.rollouts.trials(), Self: h.self, FirstStart: s.FirstStart, Seeds: nonEmpty(s.SeedAddresses), Catalog: h.catalog, Clock: h.clock, Log: log, Contact: h.watcher.LastContact, StoreUnreachable: h.watcher.Unreachable,
 		SetWatch: h.setWatching, DownChanged: h.onDownChange,
 	})
 	h.watcher.OnUpdate, h.watcher.OnOverdue = h.relay.Publish, h.relay.Wake
@@ -138,7 +138,7 @@
 	h.budget = chivehillgateway.NewRetryBudget(s.Bounds.RetryRatio, s.Bounds.RetrySlack, 1)
 	h.quotas = h.newQuotas()
 	h.gateway = chivehillgateway.New(chivehillgateway.Options{
-		Suspects: h.suspects, Self: s.Host, OnKill: h.relay.ReportSuspect, OnLeaving: h.relay.ReportLeaving, OnAnswer: h.rollouts.onAnswer(), Quota: h.quotas,
+		Suspects: h.suspects, Self: s.Host, OnKill: h.relay.ReportSuspect, OnLeaving: h.relay.ReportLeaving, Informed: h.relay.Informed, OnAnswer: h.rollouts.onAnswer(), Quota: h.quotas,
 		Catalog: h, Table: h.table, Pools: h.pools, Budget: h.budget, Headers: p.Headers, Clock: h.clock, Metrics: h.metrics, Log: log,
 	})
 	h.front = &chivehillfront.Server{
@@ -181,7 +181,7 @@
 	h.tasks.Go(func() { h.front.Serve(listeners[0]) })
 	peers := &http.Server{Handler: h.peerHandler(), ReadHeaderTimeout: httpTimeout, MaxHeaderBytes: maxOtherHeadBytes}
 	httpServers := []*http.Server{
-		h.newHTTPServer(h.platform.Ready(h.ready)),
+		h.newHTTPServer(h.platform.Ready(func() bool { return h.ready() && h.relay.Informed() })),
 		h.newHTTPServer(h.platform.Directory(h.resolve)),
 		h.newHTTPServer(h.operatorsHandler()),
 		peers,
--- a/internal/chivehillnode/node.go
+++ b/internal/chivehillnode/node.go
@@ -123,7 +123,7 @@
 		Wait: s.Limits.MembershipLeaseMs / pollsPerLease,
 	}
 	n.mesh = chivehillpeer.New(chivehillpeer.Options{
-		Self: n.self, Secret: secret, Silence: s.Limits.PeerSilenceMs, Clock: clock, Metrics: n.metrics, Log: log, Receive: n.receive,
+		Self: n.self, Secret: secret, Silence: s.Limits.PeerSilenceMs, Clock: clock, Metrics: n.metrics, Log: log, Receive: n.receive, Connected: n.tellSuspects,
 	})
 	n.slots = chivehillslot.New(clock, chivehillslot.Hooks{Send: n.sendPool, Released: n.broadcastRelease})
 	n.entry = chivehillentry.New(chivehillentry.Options{
--- a/internal/chivehillnode/peers.go
+++ b/internal/chivehillnode/peers.go
@@ -1,6 +1,7 @@
 package chivehillnode
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -119,7 +120,7 @@
 		n.sendState(m.From.Host, e.ConfigurationWanted, e.MembershipWanted)
 	}
 	for _, s := range e.Suspects {
-		n.suspects.Merge(n.clock.Now(), s.Fingerprint, m.From.Host, s.Kills, s.LeftMs)
+		n.suspects.Merge(n.clock.Now(), s.Fingerprint, cmp.Or(s.Host, m.From.Host), s.Kills, s.LeftMs)
 	}
 	for _, s := range e.ServerStates {
 		n.recordServerState(m.From.Host, s)
@@ -180,6 +181,16 @@
 	)
 }
 
+// tellSuspects adds to the first message to a peer that connects all requests that killed
+// connections and that the peer may know of: what this host may know of its whole region may.
+func (n *Node) tellSuspects(to chivehillwire.Member, e *chivehillwire.Envelope) {
+	for _, r := range n.suspects.Reports(n.clock.Now()) {
+		if to.Region == n.self.Region || r.Regions.Allows(to.Region) {
+			e.Suspects = append(e.Suspects, chivehillwire.Suspect{Fingerprint: r.Fingerprint, Host: r.Host, Kills: r.Kills, LeftMs: r.Left})
+		}
+	}
+}
+
 // Member returns the reachable member with an incarnation, or the successor
 // that holds its key table.
 func (n *Node) Member(i chivehillid.Incarnation, host chivehillid.HostID) (chivehillwire.Member, bool) {
--- a/internal/chivehillpeer/link.go
+++ b/internal/chivehillpeer/link.go
@@ -128,6 +128,9 @@
 	ended := conn.CloseRead(ctx)
 	l.setConnected(true)
 	defer l.setConnected(false)
+	if l.mesh.connected != nil {
+		l.add(func(e *chivehillwire.Envelope) { l.mesh.connected(l.member, e) })
+	}
 	for {
 		select {
 		case <-ended.Done():
--- a/internal/chivehillpeer/mesh.go
+++ b/internal/chivehillpeer/mesh.go
@@ -60,6 +60,8 @@
 	// Receive is called for each message. The messages of one connection are
 	// delivered one at a time, in the order in which they were sent.
 	Receive func(Message)
+	// Connected adds to the first message on each new connection to a peer. It may be nil.
+	Connected func(chivehillwire.Member, *chivehillwire.Envelope)
 }
 
 // Mesh holds the connections to the peers. It is safe for concurrent use.
@@ -71,6 +73,8 @@
 	metrics *chivehillmetrics.Metrics
 	log     zerolog.Logger
 	receive func(Message)
+	// connected may be nil.
+	connected func(chivehillwire.Member, *chivehillwire.Envelope)
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -97,7 +101,7 @@
 func New(o Options) *Mesh {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Mesh{
-		self: o.Self, secret: o.Secret, silence: o.Silence, clock: o.Clock, metrics: o.Metrics, log: o.Log, receive: o.Receive,
+		self: o.Self, secret: o.Secret, silence: o.Silence, clock: o.Clock, metrics: o.Metrics, log: o.Log, receive: o.Receive, connected: o.Connected,
 		ctx: ctx, cancel: cancel,
 		links: make(map[chivehillid.HostID]*link), peers: make(map[chivehillid.HostID]*peerState),
 	}
--- a/internal/chivehillproc/fault_test.go
+++ b/internal/chivehillproc/fault_test.go
@@ -266,18 +266,50 @@
 	k := newCluster(t, nil)
 	for range 4 {
 		for _, h := range k.hosts[:2] {
-			req, err := http.NewRequest(http.MethodGet, "http://"+h.settings.CallerAddress+"/tables/poison", nil)
-			k.c.Assert(err, qt.IsNil)
-			req.Header.Set(chivehillstandin.HeaderCrash, "yes")
-			resp, err := http.DefaultClient.Do(req)
-			k.c.Assert(err, qt.IsNil)
-			k.c.Check(resp.StatusCode >= http.StatusInternalServerError, qt.IsTrue)
-			_ = resp.Body.Close()
+			k.sendCrashing(h)
 		}
 	}
-	crashes := 0
+	k.c.Check(k.crashes(), qt.Equals, 2)
+}
+
+// TestRestartedHostSendsACrashingRequestAgain guards against a host that starts and passes on a
+// request that has crashed servers, as those that run know. Hosts are killed one after the other,
+// and each starts again before the next.
+func TestRestartedHostSendsACrashingRequestAgain(t *testing.T) {
+	k := newCluster(t, nil)
+	for range 2 {
+		k.sendCrashing(k.hosts[0])
+	}
+	k.c.Assert(k.crashes(), qt.Equals, 2)
+	k.awaitServing()
+	for i, h := range k.hosts[:2] {
+		h.signal(k.c, syscall.SIGKILL)
+		<-h.exited
+		k.hosts[i] = k.startHost(string(h.settings.Host), i)
+		k.hosts = k.hosts[:len(domains)]
+		k.awaitMembers(len(domains))
+		k.awaitServing()
+		k.sendCrashing(k.hosts[i])
+		k.c.Check(k.crashes(), qt.Equals, 2, qt.Commentf("sent through %s", h.settings.Host))
+	}
+}
+
+// sendCrashing sends the request that crashes the servers that run it.
+func (k *cluster) sendCrashing(h *hostProcess) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+h.settings.CallerAddress+"/tables/poison", nil)
+	k.c.Assert(err, qt.IsNil)
+	req.Header.Set(chivehillstandin.HeaderCrash, "yes")
+	resp, err := http.DefaultClient.Do(req)
+	k.c.Assert(err, qt.IsNil)
+	k.c.Check(resp.StatusCode >= http.StatusInternalServerError, qt.IsTrue)
+	_ = resp.Body.Close()
+}
+
+// crashes returns how many servers the request has crashed.
+func (k *cluster) crashes() int {
+	sum := 0
 	for _, r := range k.records() {
-		crashes += r.Crashes
+		sum += r.Crashes
 	}
-	k.c.Check(crashes, qt.Equals, 2)
+	return sum
 }
--- a/internal/chivehillrelay/decide.go
+++ b/internal/chivehillrelay/decide.go
@@ -80,6 +80,8 @@
 	Searching bool
 	// Watching is set while the peer watches the store.
 	Watching bool
+	// Uninformed is set while the peer does not know what others know, see Decision.
+	Uninformed bool
 }
 
 // State is what a host knows about itself and its peers when it makes its decision.
@@ -116,6 +118,8 @@
 	// Delegate is the host that was last asked to watch the store in place of this
 	// one.
 	Delegate chivehillid.HostID
+	// Uninformed is that of the previous decision.
+	Uninformed bool
 	// Asked holds the hosts asked so since the store last answered this one.
 	Asked delegations
 }
@@ -154,6 +158,10 @@
 	// Searching is set while this host, or the one it follows, gets no answers from the
 	// store. A host that watches the store then asks a delegate to do so in its place.
 	Searching bool
+	// Uninformed is set from the start of this host until a peer that is informed has told it
+	// what it knows and the store does not, or until it has led for so long that it knows by itself which
+	// hosts are down.
+	Uninformed bool
 	// Dial lists the hosts to connect to.
 	Dial []chivehillcatalog.Host
 	// Keep contains the hosts whose connections are needed.
@@ -195,10 +203,29 @@
 		d.Delegate = s.delegate()
 	}
 	d.Watch = d.Watch || s.isDelegate() || d.shouldTryStore(s, precedingCount)
+	d.Uninformed = s.Uninformed && !s.hasInformedPeer() && !s.hasLedForGracePeriod()
 	d.Down = d.downHosts(s, domainLeader)
 	return d
 }
 
+// hasInformedPeer reports whether a live peer knows what hosts tell one another.
+func (s State) hasInformedPeer() bool {
+	for _, p := range s.Peers {
+		if p.isInformed() {
+			return true
+		}
+	}
+	return false
+}
+
+func (p PeerState) isInformed() bool { return p.Live && p.HasHeartbeat && !p.Uninformed }
+
+// hasLedForGracePeriod reports whether this host has been leader for so long that it has found
+// all hosts that are down.
+func (s State) hasLedForGracePeriod() bool {
+	return s.Leader && s.Now-max(s.Started, s.LeaderSince) > unreachableGracePeriod
+}
+
 // isFirstInRegion reports whether no host precedes this one in its failure domain
 // and no failure domain precedes its own in the region.
 func (s State) isFirstInRegion(precedingHosts []chivehillcatalog.Host) bool {
--- a/internal/chivehillrelay/delegate_test.go
+++ b/internal/chivehillrelay/delegate_test.go
@@ -76,6 +76,7 @@
 		{"nothing new", chivehillwire.RelayBeat{}, false},
 		{"asks this host", chivehillwire.RelayBeat{Delegate: "self"}, true},
 		{"gets no answers", chivehillwire.RelayBeat{Lost: true}, true},
+		{"no longer informed", chivehillwire.RelayBeat{Uninformed: true}, true},
 	}
 	for _, tt := range tests {
 		r := newTestRelay()
--- a/internal/chivehillrelay/heartbeat.go
+++ b/internal/chivehillrelay/heartbeat.go
@@ -48,7 +48,7 @@
 	}
 	r.mu.Lock()
 	heartbeat.Watching, heartbeat.Leaving, heartbeat.Lost, heartbeat.Delegate = r.watching, r.leaving, r.storeUnreachable, r.decision.Delegate
-	heartbeat.Searching = r.decision.Searching
+	heartbeat.Searching, heartbeat.Uninformed = r.decision.Searching, !r.informed.Load()
 	for id := range r.decision.Down {
 		heartbeat.Down = append(heartbeat.Down, id)
 	}
--- a/internal/chivehillrelay/link.go
+++ b/internal/chivehillrelay/link.go
@@ -155,9 +155,6 @@
 			return err
 		}
 		for _, m := range parts {
-			if l.recordReceived(m) {
-				l.relay.Wake()
-			}
 			l.relay.receive(l, m)
 		}
 	}
@@ -208,8 +205,8 @@
 	}
 }
 
-// recordReceived records a message and reports whether the peer's heartbeat may change which
-// hosts watch the store.
+// recordReceived records a message and reports whether the peer's heartbeat may change at once
+// which hosts watch the store or whether this host is informed.
 func (l *link) recordReceived(m chivehillwire.RelayMessage) (changed bool) {
 	now := l.relay.Clock.Now()
 	l.mu.Lock()
@@ -220,7 +217,10 @@
 	}
 	old := l.heartbeat
 	l.heartbeat, l.heartbeatAt = m.Beat, now
-	return old != nil && (old.Lost != m.Beat.Lost || old.Delegate != m.Beat.Delegate)
+	if old == nil {
+		old = &chivehillwire.RelayBeat{Uninformed: true}
+	}
+	return old.Lost != m.Beat.Lost || old.Delegate != m.Beat.Delegate || old.Uninformed != m.Beat.Uninformed
 }
 
 // state returns the state of the peer at the time now.
@@ -236,7 +236,7 @@
 		return p
 	}
 	p.Leaving, p.Down, p.StoreUnreachable, p.Delegate = l.heartbeat.Leaving, l.heartbeat.Down, l.heartbeat.Lost, l.heartbeat.Delegate
-	p.Searching, p.Watching = l.heartbeat.Searching, l.heartbeat.Watching
+	p.Searching, p.Watching, p.Uninformed = l.heartbeat.Searching, l.heartbeat.Watching, l.heartbeat.Uninformed
 	if l.heartbeat.ContactAgeMs >= 0 {
 		p.ContactAt, p.HasContact = l.heartbeatAt-l.heartbeat.ContactAgeMs, true
 	}
--- a/internal/chivehillrelay/link_test.go
+++ b/internal/chivehillrelay/link_test.go
@@ -44,7 +44,7 @@
 		Self: chivehillcatalog.Host{ID: "self", Domain: "d", Region: "r"}, Clock: chivehillclock.NewManual(), Log: zerolog.Nop(),
 		Catalog: chivehillcatalog.New(chivehillcatalog.Options{Decoder: nameDecoder{}, Log: zerolog.Nop()}),
 		Contact: func() (chivehillclock.Millis, bool) { return 0, false }, StoreUnreachable: func() bool { return false },
-		SetWatch: func(bool) {}, DownChanged: func() {}, Suspects: chivehillsuspect.New(),
+		SetWatch: func(bool) {}, DownChanged: func() {}, Suspects: chivehillsuspect.New(), LeavingInstances: func() []chivehillcatalog.Instance { return nil },
 	})
 }
 
--- a/internal/chivehillrelay/relay.go
+++ b/internal/chivehillrelay/relay.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -38,6 +39,8 @@
 	// MarkLeaving records that an instance of a server leaves and reports whether that was
 	// not known.
 	MarkLeaving func(chivehillcatalog.Instance) bool
+	// LeavingInstances returns the instances of servers that are known to leave.
+	LeavingInstances func() []chivehillcatalog.Instance
 	// Trials is what hosts tell one another of versions under trial; nil in a deployment
 	// without roll-outs.
 	Trials  *Trials
@@ -68,10 +71,12 @@
 	// snapshots has its own lock.
 	snapshots snapshots
 	// wake ends the wait for the next tick.
-	wake chan struct{}
+	wake    chan struct{}
+	started chivehillclock.Millis
+	// informed is set once the decision is no longer Uninformed.
+	informed atomic.Bool
 
 	mu         sync.Mutex
-	started    chivehillclock.Millis
 	links      map[linkKey]*link
 	dialState  map[string]*dialState
 	lastSeenAt map[chivehillid.HostID]chivehillclock.Millis
@@ -111,11 +116,14 @@
 // New returns a relay without connections.
 func New(o Options) *Relay {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Relay{
+	r := &Relay{
 		Options: o, ctx: ctx, cancel: cancel, started: o.Clock.Now(), links: make(map[linkKey]*link), dialState: make(map[string]*dialState), wake: make(chan struct{}, 1),
 		client:     &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		lastSeenAt: make(map[chivehillid.HostID]chivehillclock.Millis), requestedAt: make(map[chivehillcatalog.Collection]chivehillclock.Millis),
 	}
+	// When the whole deployment starts for the first time, nobody knows anything.
+	r.informed.Store(o.FirstStart)
+	return r
 }
 
 // Run connects to the seeds, then evaluates the state of the hosts and sends
@@ -219,6 +227,7 @@
 	}
 	s.HasAllCollections = r.hasAllCollections()
 	s.StoreUnreachable, s.Delegate, s.Asked = r.watching && r.StoreUnreachable(), r.decision.Delegate, r.asked
+	s.Uninformed = !r.informed.Load()
 	for key, l := range r.links {
 		p := l.state(now)
 		if old, found := s.Peers[key.id]; !found || p.Live && !old.Live || p.HasHeartbeat && !old.HasHeartbeat {
@@ -260,8 +269,9 @@
 	r.closeUnneeded(s, d)
 	delegateChanged := d.Delegate != s.Delegate
 	r.recordDelegate(s, d)
-	statusChanged := delegateChanged || s.StoreUnreachable != r.storeUnreachable || d.Searching != r.decision.Searching
+	statusChanged := delegateChanged || s.StoreUnreachable != r.storeUnreachable || d.Searching != r.decision.Searching || d.Uninformed != s.Uninformed
 	r.storeUnreachable = s.StoreUnreachable
+	r.informed.Store(!d.Uninformed)
 	r.decision = d
 	crossRegionDue := s.Now-r.lastCrossRegionHeartbeat >= crossRegionHeartbeatPeriod
 	sameRegionDue := statusChanged || s.Now-r.lastHeartbeat >= heartbeatPeriod
@@ -409,7 +419,7 @@
 	}
 	r.Log.Info().Str("peer", string(l.host.ID)).Bool("dialed", l.dialed).Msg("relay: peer connected.")
 	r.queueHeartbeat(l)
-	r.sendAllRulings(l)
+	r.sendFacts(l)
 	err := l.run(r.ctx)
 	r.mu.Lock()
 	if r.links[key] == l {
--- a/internal/chivehillrelay/update.go
+++ b/internal/chivehillrelay/update.go
@@ -3,8 +3,6 @@
 import (
 	"github.com/chivehill/chivehill/internal/chivehillcatalog"
 	"github.com/chivehill/chivehill/internal/chivehillclock"
-	"github.com/chivehill/chivehill/internal/chivehillid"
-	"github.com/chivehill/chivehill/internal/chivehillsuspect"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
 )
 
@@ -77,20 +75,19 @@
 	return decoded
 }
 
-// receive processes one message from a peer.
+// receive processes one message from a peer. The peer's heartbeat may make this host ready, so
+// the facts of the message come first.
 func (r *Relay) receive(l *link, m chivehillwire.RelayMessage) {
+	r.receiveFacts(l, m)
+	if l.recordReceived(m) {
+		r.Wake()
+	}
 	for _, u := range m.Updates {
 		if !r.Catalog.Caches(u.Collection) {
 			continue
 		}
 		r.Publish(u.Collection, r.Catalog.Apply(u.Collection, decodeUpdate(u)))
 	}
-	for _, s := range m.Suspects {
-		r.receiveSuspect(l, s)
-	}
-	for _, e := range m.Leaving {
-		r.receiveLeaving(l, e)
-	}
 	r.receiveTrials(l, m)
 	for _, c := range m.Want {
 		r.sendSnapshot(l, c)
@@ -165,42 +162,6 @@
 	return true
 }
 
-// ReportSuspect reports to all peers that servers went down after a request.
-func (r *Relay) ReportSuspect(f chivehillid.Fingerprint, kills int) {
-	r.sendSuspect(nil, chivehillwire.RelaySuspect{Fingerprint: f, Host: r.Self.ID, Kills: kills, LeftMs: chivehillsuspect.EntryTTL})
-}
-
-// receiveSuspect merges a peer's report of a suspect request into the local table
-// and forwards it if it increased the number of servers that went down.
-func (r *Relay) receiveSuspect(from *link, s chivehillwire.RelaySuspect) {
-	now := r.Clock.Now()
-	before := r.Suspects.Kills(now, s.Fingerprint)
-	r.Suspects.Merge(now, s.Fingerprint, s.Host, s.Kills, s.LeftMs)
-	if r.Suspects.Kills(now, s.Fingerprint) > before {
-		r.sendSuspect(from, s)
-	}
-}
-
-func (r *Relay) sendSuspect(except *link, s chivehillwire.RelaySuspect) {
-	r.addToOthers(except, func(m *chivehillwire.RelayMessage) { m.Suspects = append(m.Suspects, s) })
-}
-
-// ReportLeaving reports to all peers that an instance of a server leaves.
-func (r *Relay) ReportLeaving(i chivehillcatalog.Instance) {
-	r.sendLeaving(nil, chivehillwire.RelayLeaving{Server: i.Server, Started: i.Started})
-}
-
-// receiveLeaving records a peer's report of a leaving server and forwards it if it is news.
-func (r *Relay) receiveLeaving(from *link, e chivehillwire.RelayLeaving) {
-	if r.MarkLeaving(chivehillcatalog.Instance{Server: e.Server, Started: e.Started}) {
-		r.sendLeaving(from, e)
-	}
-}
-
-func (r *Relay) sendLeaving(except *link, e chivehillwire.RelayLeaving) {
-	r.addToOthers(except, func(m *chivehillwire.RelayMessage) { m.Leaving = append(m.Leaving, e) })
-}
-
 // addToOthers applies change to the pending messages of all links but one.
 func (r *Relay) addToOthers(except *link, change func(*chivehillwire.RelayMessage)) {
 	for _, l := range r.allLinks() {
--- a/internal/chivehillselector/notice.go
+++ b/internal/chivehillselector/notice.go
@@ -82,6 +82,19 @@
 	return found
 }
 
+// leaving returns the instances that have said that they leave.
+func (n *notices) leaving() []chivehillcatalog.Instance {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var leaving []chivehillcatalog.Instance
+	for i, e := range n.byInstance {
+		if e.isLeaving() {
+			leaving = append(leaving, i)
+		}
+	}
+	return leaving
+}
+
 // prune drops the notices of instances that have not been listed for noticeRetention.
 func (n *notices) prune(now chivehillclock.Millis, listed map[chivehillcatalog.Instance]bool) {
 	n.mu.Lock()
@@ -116,6 +129,9 @@
 	return news
 }
 
+// LeavingInstances returns the instances of servers that are known to leave.
+func (t *Table) LeavingInstances() []chivehillcatalog.Instance { return t.notices.leaving() }
+
 // Notices returns how many servers leave by their own word, and from how many this host is
 // asked for quiet.
 func (t *Table) Notices() (leaving, quiet int) {
--- a/internal/chivehillsim/cluster.go
+++ b/internal/chivehillsim/cluster.go
@@ -373,7 +373,7 @@
 func (h *host) recordKill(c *call) bool {
 	now := h.world.engine.now
 	f := chivehillid.Fingerprint(c.id)
-	kills := h.cluster.suspects.Record(now, f, h.id)
+	kills := h.cluster.suspects.Record(now, f, h.id, c.regions)
 	from := h.id
 	allowed := func(m chivehillwire.Member) bool { return c.regions.Allows(m.Region) }
 	h.broadcast(messageBytes, allowed, func(to *host, _ chivehillclock.Millis) {
--- a/internal/chivehillsuspect/table.go
+++ b/internal/chivehillsuspect/table.go
@@ -9,6 +9,7 @@
 
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillregion"
 )
 
 const (
@@ -31,6 +32,8 @@
 
 type entry struct {
 	until chivehillclock.Millis
+	// regions are those that may know of the request, as far as this host has observed its kills.
+	regions chivehillregion.Set
 	// kills holds the count of each reporting host, so that a report that is received
 	// twice is not counted twice.
 	kills map[chivehillid.HostID]int
@@ -41,9 +44,37 @@
 	return &Table{entries: make(map[chivehillid.Fingerprint]*entry)}
 }
 
-// Record counts one more kill observed by host and returns the number of kills that
-// this host has observed.
-func (t *Table) Record(now chivehillclock.Millis, fingerprint chivehillid.Fingerprint, host chivehillid.HostID) int {
+// Report is what one host has observed of a request.
+type Report struct {
+	Fingerprint chivehillid.Fingerprint
+	Host        chivehillid.HostID
+	Kills       int
+	// Left is how much longer the report holds, at most EntryTTL.
+	Left chivehillclock.Millis
+	// Regions are those that may know of the request. It allows none if this host knows of the
+	// request from others only.
+	Regions chivehillregion.Set
+}
+
+// Reports returns all reports that still hold.
+func (t *Table) Reports(now chivehillclock.Millis) []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var reports []Report
+	for fingerprint, e := range t.entries {
+		if now >= e.until {
+			continue
+		}
+		for host, kills := range e.kills {
+			reports = append(reports, Report{Fingerprint: fingerprint, Host: host, Kills: kills, Left: e.until - now, Regions: e.regions})
+		}
+	}
+	return reports
+}
+
+// Record counts one more kill observed by host, of a request that the given regions may know
+// of, and returns the number of kills that this host has observed.
+func (t *Table) Record(now chivehillclock.Millis, fingerprint chivehillid.Fingerprint, host chivehillid.HostID, regions chivehillregion.Set) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entry(now, fingerprint)
@@ -51,7 +82,7 @@
 		return 1
 	}
 	e.kills[host]++
-	e.until = now + EntryTTL
+	e.until, e.regions = now+EntryTTL, regions
 	return e.kills[host]
 }
 
--- a/internal/chivehillwire/relay.go
+++ b/internal/chivehillwire/relay.go
@@ -37,6 +37,10 @@
 	// answers.
 	Searching bool `json:"searching,omitempty"`
 
+	// The sender has started, and no peer has told it yet what hosts know and the
+	// store does not.
+	Uninformed bool `json:"uninformed,omitempty"`
+
 	// The sender watches the store itself.
 	Watching bool `json:"watching"`
 }
--- a/internal/chivehillwire/wire.go
+++ b/internal/chivehillwire/wire.go
@@ -519,6 +519,9 @@
 	// Hash of the request.
 	Fingerprint chivehillid.Fingerprint `json:"fingerprint"`
 
+	// Host that saw it; the sender if empty.
+	Host chivehillid.HostID `json:"host,omitempty"`
+
 	// Connections killed.
 	Kills int `json:"kills"`
 
