fix: who takes a role over starts from what others know

Cause: followers adopt their leader's list of down hosts, and that of a leader that has just started is empty for its grace period. What it did not know yet took away what the others knew; leaders of other zones adopted it as well.

Ruled out: an entry that comes back, an old connection.

Change: the list of a host that is uninformed takes nothing away, and an uninformed host takes over the lists of all peers that are informed. It is informed once it knows the hosts and has been told, or has led for the grace period.

--- a/internal/chivehillrelay/decide.go
+++ b/internal/chivehillrelay/decide.go
@@ -203,29 +203,11 @@
 		d.Delegate = s.delegate()
 	}
 	d.Watch = d.Watch || s.isDelegate() || d.shouldTryStore(s, precedingCount)
-	d.Uninformed = s.Uninformed && !s.hasInformedPeer() && !s.hasLedForGracePeriod()
+	d.Uninformed = s.Uninformed && !s.isTold() && !s.hasLedForGracePeriod()
 	d.Down = d.downHosts(s, domainLeader)
 	return d
 }
 
-// hasInformedPeer reports whether a live peer knows what hosts tell one another.
-func (s State) hasInformedPeer() bool {
-	for _, p := range s.Peers {
-		if p.isInformed() {
-			return true
-		}
-	}
-	return false
-}
-
-func (p PeerState) isInformed() bool { return p.Live && p.HasHeartbeat && !p.Uninformed }
-
-// hasLedForGracePeriod reports whether this host has been leader for so long that it has found
-// all hosts that are down.
-func (s State) hasLedForGracePeriod() bool {
-	return s.Leader && s.Now-max(s.Started, s.LeaderSince) > unreachableGracePeriod
-}
-
 // isFirstInRegion reports whether no host precedes this one in its failure domain
 // and no failure domain precedes its own in the region.
 func (s State) isFirstInRegion(precedingHosts []chivehillcatalog.Host) bool {
@@ -379,74 +361,3 @@
 	slices.Sort(domains)
 	return domains
 }
-
-// downHosts returns the hosts that callers must not be sent to. A follower adopts
-// the list of its leader. A leader determines the list of its own failure domain
-// from its connections and adopts the lists of its peers for the other ones. A host
-// that has lost its leader and is not leader itself keeps its previous list. Leaving
-// peers are always in the result, other live peers never.
-func (d *Decision) downHosts(s State, leader *PeerState) map[chivehillid.HostID]bool {
-	down := make(map[chivehillid.HostID]bool)
-	switch {
-	case leader != nil:
-		for _, id := range leader.Down {
-			down[id] = true
-		}
-	case d.Leader:
-		s.markUnreachable(down)
-	default:
-		s.keepPreviousDown(down, func(chivehillcatalog.Host) bool { return true })
-	}
-	for id, p := range s.Peers {
-		switch {
-		case p.Leaving:
-			down[id] = true
-		case p.Live:
-			delete(down, id)
-		}
-	}
-	delete(down, s.Self.ID)
-	return down
-}
-
-// keepPreviousDown adds the listed hosts that were down in the previous decision
-// and that match accepts.
-func (s State) keepPreviousDown(down map[chivehillid.HostID]bool, match func(chivehillcatalog.Host) bool) {
-	for id := range s.Down {
-		if h, listed := s.Hosts[id]; listed && match(h) {
-			down[id] = true
-		}
-	}
-}
-
-// markUnreachable adds the hosts that a leader considers unreachable. For a failure
-// domain with a live peer it adds those that the peer reports. For its own domain
-// and those without a live peer it adds the hosts that have had no live connection
-// for the grace period, and keeps those that were already down.
-func (s State) markUnreachable(down map[chivehillid.HostID]bool) {
-	reachedDomains := make(map[chivehillid.DomainID]bool)
-	for _, p := range s.Peers {
-		if !p.Live || p.Host.Domain == s.Self.Domain {
-			continue
-		}
-		reachedDomains[p.Host.Domain] = true
-		for _, id := range p.Down {
-			if s.Hosts[id].Domain == p.Host.Domain {
-				down[id] = true
-			}
-		}
-	}
-	s.keepPreviousDown(down, func(h chivehillcatalog.Host) bool { return !reachedDomains[h.Domain] })
-	since := s.Now
-	if s.Leader {
-		since = max(s.Started, s.LeaderSince)
-	}
-	for id, h := range s.Hosts {
-		if reachedDomains[h.Domain] || s.Peers[id].Live {
-			continue
-		}
-		if s.Now-max(since, s.LastSeenAt[id]) > unreachableGracePeriod {
-			down[id] = true
-		}
-	}
-}
--- a/internal/chivehillrelay/facts_test.go
+++ b/internal/chivehillrelay/facts_test.go
@@ -123,6 +123,7 @@
 		o := newTestRelay().Options
 		o.FirstStart = tt.firstStart
 		r := New(o)
+		r.Catalog.Apply(chivehillcatalog.Hosts, chivehillcatalog.Update{Full: true, AsOf: 5, Records: []chivehillcatalog.Record{{Name: "peer", Revision: 1}}})
 		l := newLink(r, nil, chivehillcatalog.Host{ID: "peer", Domain: "d", Region: "r"}, true)
 		r.links[linkKey{id: "peer", dialed: true}] = l
 		if tt.peer != nil {
