--- a/internal/chivehillnode/node.go
+++ b/internal/chivehillnode/node.go
@@ -35,6 +35,7 @@
 	"github.com/chivehill/chivehill/internal/chivehillstore"
 	"github.com/chivehill/chivehill/internal/chivehillsuspect"
 	"github.com/chivehill/chivehill/internal/chivehillsync"
+	"github.com/chivehill/chivehill/internal/chivehillwake"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
 )
 
@@ -67,7 +68,7 @@
 
 	leaving atomic.Bool
 	// reconfigure is signalled after each change of configuration, membership or reachability.
-	reconfigure chan struct{}
+	reconfigure chivehillwake.Signal
 
 	// plan is guarded by mu, except for its topology, which is immutable.
 	plan *chivehillplan.Plan
@@ -106,7 +107,7 @@
 		},
 		adopted: chivehillkey.NewAdopted(), suspects: chivehillsuspect.New(),
 		probes:      chivehillbudget.NewBucket(s.Limits.ProbeRequestsPerSecond, max(1, s.Limits.ProbeRequestsPerSecond)),
-		reconfigure: make(chan struct{}, 1), handoverConfirmed: make(chan struct{}),
+		reconfigure: chivehillwake.New(), handoverConfirmed: make(chan struct{}),
 		heartbeats: make(map[chivehillid.HostID]peerHeartbeat),
 		successors: make(map[chivehillid.Incarnation]chivehillid.HostID),
 	}
@@ -149,12 +150,7 @@
 	n.log.Error().Str("invariant", string(name)).Str("detail", detail).Msg("invariant: violated.")
 }
 
-func (n *Node) signalReconfigure() {
-	select {
-	case n.reconfigure <- struct{}{}:
-	default:
-	}
-}
+func (n *Node) signalReconfigure() { n.reconfigure.Wake() }
 
 // Run serves until ctx is canceled and then shuts down gracefully.
 func (n *Node) Run(ctx context.Context) error {
--- a/internal/chivehillpeer/link.go
+++ b/internal/chivehillpeer/link.go
@@ -13,6 +13,7 @@
 
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillwake"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
 )
 
@@ -37,7 +38,7 @@
 	nonMember bool
 	since     chivehillclock.Millis
 	cancel    context.CancelFunc
-	wake      chan struct{}
+	wake      chivehillwake.Signal
 
 	mu        sync.Mutex
 	connected bool
@@ -48,7 +49,7 @@
 // startLink starts the goroutine that dials a member and sends to it.
 func (m *Mesh) startLink(member chivehillwire.Member) *link {
 	ctx, cancel := context.WithCancel(m.ctx)
-	l := &link{mesh: m, member: member, since: m.clock.Now(), cancel: cancel, wake: make(chan struct{}, 1)}
+	l := &link{mesh: m, member: member, since: m.clock.Now(), cancel: cancel, wake: chivehillwake.New()}
 	m.tasks.Go(func() { l.run(ctx) })
 	return l
 }
@@ -76,10 +77,7 @@
 	}
 	change(l.pending)
 	l.mu.Unlock()
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
+	l.wake.Wake()
 	return true
 }
 
--- a/internal/chivehillquota/service.go
+++ b/internal/chivehillquota/service.go
@@ -12,6 +12,7 @@
 	"github.com/chivehill/chivehill/internal/chivehillcatalog"
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillwake"
 )
 
 // Options holds the dependencies of a Service.
@@ -40,7 +41,7 @@
 	cancel context.CancelFunc
 	tasks  conc.WaitGroup
 	// wake tells the asking goroutine that a request waits.
-	wake chan struct{}
+	wake chivehillwake.Signal
 	// joined passes the sessions that were connected for the asking goroutine.
 	joined chan dialed
 
@@ -77,7 +78,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	now := o.Clock.Now()
 	s := &Service{
-		Options: o, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), joined: make(chan dialed, 1),
+		Options: o, ctx: ctx, cancel: cancel, wake: chivehillwake.New(), joined: make(chan dialed, 1),
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		owner:  NewOwner(o.Bounds(), now), asker: NewClient(now), failed: make(map[chivehillid.HostID]failure),
 	}
@@ -168,12 +169,7 @@
 	}
 }
 
-func (s *Service) wakeUp() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
+func (s *Service) wakeUp() { s.wake.Wake() }
 
 // tick logs the workspaces that began or ceased to be over their quota.
 func (s *Service) tick() {
--- a/internal/chivehillrelay/facts_test.go
+++ b/internal/chivehillrelay/facts_test.go
@@ -75,9 +75,11 @@
 			defer f.mu.Unlock()
 			return f.Suspects.Kills(f.Clock.Now(), request) == 2
 		}
-		for end := time.Now().Add(5 * time.Second); time.Now().Before(end) && !(knows(tt.from) && knows(tt.to)); time.Sleep(time.Millisecond) {
+		known := false
+		for end := time.Now().Add(5 * time.Second); !known && time.Now().Before(end); time.Sleep(time.Millisecond) {
+			known = knows(tt.from) && knows(tt.to)
 		}
-		qt.Check(t, knows(tt.from) && knows(tt.to), qt.IsTrue, qt.Commentf("%s: request that crashes servers", tt.about))
+		qt.Check(t, known, qt.IsTrue, qt.Commentf("%s: request that crashes servers", tt.about))
 		tt.to.tick()
 	}
 	for _, f := range []*factRelay{first, second, third} {
--- a/internal/chivehillrelay/link.go
+++ b/internal/chivehillrelay/link.go
@@ -13,6 +13,7 @@
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 	"github.com/chivehill/chivehill/internal/chivehillcodec"
 	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillwake"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
 )
 
@@ -39,7 +40,7 @@
 	conn   *websocket.Conn
 	host   chivehillcatalog.Host
 	dialed bool
-	wake   chan struct{}
+	wake   chivehillwake.Signal
 
 	mu sync.Mutex
 	// pending is the message to send next, nil if there is none.
@@ -61,7 +62,7 @@
 
 func newLink(r *Relay, conn *websocket.Conn, host chivehillcatalog.Host, dialed bool) *link {
 	return &link{
-		relay: r, conn: conn, host: host, dialed: dialed, wake: make(chan struct{}, 1), receivedAt: r.Clock.Now(),
+		relay: r, conn: conn, host: host, dialed: dialed, wake: chivehillwake.New(), receivedAt: r.Clock.Now(),
 		behindSince: make(map[chivehillcatalog.Collection]chivehillclock.Millis),
 	}
 }
@@ -199,10 +200,7 @@
 		l.pending.Updates, l.pending.Packed = nil, nil
 	}
 	l.mu.Unlock()
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
+	l.wake.Wake()
 }
 
 // recordReceived records a message and reports whether the peer's heartbeat may change at once
--- a/internal/chivehillslot/manager.go
+++ b/internal/chivehillslot/manager.go
@@ -13,6 +13,7 @@
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 	"github.com/chivehill/chivehill/internal/chivehillid"
 	"github.com/chivehill/chivehill/internal/chivehillreason"
+	"github.com/chivehill/chivehill/internal/chivehillwake"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
 )
 
@@ -39,7 +40,7 @@
 	// busy is the set of pools in which requests or slot requests wait.
 	busy map[chivehillid.PoolID]bool
 	// becameBusy is the channel of Busy.
-	becameBusy chan struct{}
+	becameBusy chivehillwake.Signal
 }
 
 // shard holds one pool and the lock that protects it.
@@ -63,7 +64,7 @@
 func New(clock *chivehillclock.Clock, hooks Hooks) *Manager {
 	return &Manager{
 		clock: clock, hooks: hooks, shards: make(map[chivehillid.PoolID]*shard),
-		busy: make(map[chivehillid.PoolID]bool), becameBusy: make(chan struct{}, 1),
+		busy: make(map[chivehillid.PoolID]bool), becameBusy: chivehillwake.New(),
 	}
 }
 
@@ -272,10 +273,7 @@
 		return
 	}
 	m.busy[pool] = true
-	select {
-	case m.becameBusy <- struct{}{}:
-	default:
-	}
+	m.becameBusy.Wake()
 }
 
 // Pools returns the IDs of all pools, sorted.
