fix: one predicate says that a host has loaded what it needs

A host with roll-outs that starts was not ready until it had listed the orders, but sent the requests that reached it all the same: the gateway had a copy of the condition without the orders. Both ask View.Loaded now.

Test: TestHostServesWithoutItsOrders; it can't be built on the code before, which has no such predicate. Deployments without roll-outs, all in force, are as before.

--- a/internal/chivehillcatalog/catalog.go
+++ b/internal/chivehillcatalog/catalog.go
@@ -77,6 +77,13 @@
 	// RolloutsSynced is set once all roll-outs have been listed. It stays false in a
 	// deployment without roll-outs.
 	RolloutsSynced bool
+	// hasRollouts is set in a deployment with roll-outs.
+	hasRollouts bool
+}
+
+// Loaded reports whether the view holds what a host needs to serve requests.
+func (v View) Loaded() bool {
+	return v.Configuration.Version > 0 && v.ServersSynced && v.WithdrawnSynced && (v.RolloutsSynced || !v.hasRollouts)
 }
 
 // FindRoute returns the route with the longest path prefix that matches a request.
@@ -91,7 +98,7 @@
 
 // New returns an empty catalog.
 func New(o Options) *Catalog {
-	c := &Catalog{Options: o, collections: make(map[Collection]*collectionState)}
+	c := &Catalog{Options: o, collections: make(map[Collection]*collectionState), view: View{hasRollouts: o.Rollouts}}
 	for _, name := range c.Collections() {
 		c.collections[name] = &collectionState{records: newRecords()}
 	}
--- a/internal/chivehillcatalog/catalog_test.go
+++ b/internal/chivehillcatalog/catalog_test.go
@@ -274,3 +274,15 @@
 		qt.Check(t, strings.Count(lines.String(), "\n"), qt.Equals, before+1, qt.Commentf("%d", tt.records))
 	}
 }
+
+// TestHostServesWithoutItsOrders guards against a host with roll-outs that serves before it knows
+// which versions are under trial.
+func TestHostServesWithoutItsOrders(t *testing.T) {
+	for _, rollouts := range []bool{false, true} {
+		c := New(Options{Decoder: versionDecoder{}, Log: zerolog.Nop(), Rollouts: rollouts})
+		for _, name := range c.Collections() {
+			qt.Check(t, c.View().Loaded(), qt.Equals, !rollouts && name == Hosts, qt.Commentf("roll-outs: %v, before %s", rollouts, name))
+			c.Apply(name, Update{Full: true, AsOf: 5, Records: []Record{{Name: "main", Revision: 1, Data: []byte("3")}}})
+		}
+	}
+}
--- a/internal/chivehillgateway/start.go
+++ b/internal/chivehillgateway/start.go
@@ -22,12 +22,7 @@
 
 // holds reports whether requests wait because this host has just started.
 func (g *Gateway) holds(v chivehillcatalog.View) bool {
-	return !loaded(v) || g.Informed != nil && !g.Informed()
-}
-
-// loaded reports whether a host knows what it needs to serve requests.
-func loaded(v chivehillcatalog.View) bool {
-	return v.Configuration.Version > 0 && v.ServersSynced && v.WithdrawnSynced
+	return !v.Loaded() || g.Informed != nil && !g.Informed()
 }
 
 // awaitLoaded returns the view once it is loaded and this host is informed. A host that starts has it within a fraction of
--- a/internal/chivehillhost/registration.go
+++ b/internal/chivehillhost/registration.go
@@ -178,13 +178,9 @@
 	return hosts
 }
 
-// ready reports whether this host can serve callers: it is not leaving, has a
-// configuration and has listed all servers and withdrawals.
-func (h *Host) ready() bool {
-	view := h.catalog.View()
-	complete := view.Configuration.Version > 0 && view.ServersSynced && view.WithdrawnSynced && (h.rollouts == nil || view.RolloutsSynced)
-	return complete && !h.leaving.Load()
-}
+// ready reports whether this host can serve callers: it is not leaving and has loaded
+// what it needs.
+func (h *Host) ready() bool { return h.catalog.View().Loaded() && !h.leaving.Load() }
 
 // resolve is the Resolve of this host. It chooses among the live hosts.
 func (h *Host) resolve(q chivehilldirectory.Query) (addresses []string, ttl chivehillclock.Millis) {
