fix: a host that neither follows nor leads takes over what it is told

Callers: after a restart, hosts still named a lost host for up to a second when the host that they follow, or connect to, had been told before it followed or led.

Cause: a host that had just started became informed with the first informed peer, but only one that follows or leads took over the lists of down hosts.

The new log line of a host that becomes informed showed an empty list beside a peer with a full one. Ruled out: an incomplete list of hosts (all seven were listed).

Change: an uninformed host takes the lists over in whatever role, unless its leader is informed. The row "neither follows nor leads yet" of TestDownHosts failed before.

--- a/internal/chivehillrelay/down.go
+++ b/internal/chivehillrelay/down.go
@@ -38,15 +38,16 @@
 func (d *Decision) downHosts(s State, leader *PeerState) map[chivehillid.HostID]bool {
 	down := make(map[chivehillid.HostID]bool)
 	all := func(chivehillcatalog.Host) bool { return true }
+	if leader == nil || !leader.isInformed() {
+		s.takeOverDown(down)
+	}
 	switch {
 	case leader != nil && leader.isInformed():
 		addAll(down, leader.Down)
 	case leader != nil:
 		addAll(down, leader.Down)
-		s.takeOverDown(down)
 		s.keepPreviousDown(down, all)
 	case d.Leader:
-		s.takeOverDown(down)
 		s.markUnreachable(down)
 	default:
 		s.keepPreviousDown(down, all)
--- a/internal/chivehillrelay/down_test.go
+++ b/internal/chivehillrelay/down_test.go
@@ -81,6 +81,10 @@
 			s = s.withPeer(east[0].ID, func(p *PeerState) { p.Uninformed = true })
 			return s.withPeer(west[0].ID, func(p *PeerState) { p.Down = []chivehillid.HostID{east[2].ID} }).withoutPeers(east[2].ID)
 		}, []chivehillid.HostID{east[2].ID}},
+		{"just started, neither follows nor leads yet, a seed knows", east[1], func(s State) State {
+			s.Uninformed, s.Leader, s.Started, s.LastFollowedAt = true, false, now, now
+			return s.withPeer(west[0].ID, func(p *PeerState) { p.Down = []chivehillid.HostID{east[2].ID} }).withoutPeers(east[0].ID, east[2].ID)
+		}, []chivehillid.HostID{east[2].ID}},
 		{"just started and leads, a host that follows it knows", east[0], func(s State) State {
 			s.Uninformed, s.LeaderSince = true, now
 			return s.withPeer(east[1].ID, func(p *PeerState) { p.Down = []chivehillid.HostID{east[0].ID, east[2].ID, "gone"} }).withoutPeers(east[2].ID)
--- a/internal/chivehillrelay/tick.go
+++ b/internal/chivehillrelay/tick.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/chivehill/chivehill/internal/chivehillcatalog"
 	"github.com/chivehill/chivehill/internal/chivehillid"
 )
 
@@ -76,6 +77,9 @@
 		r.lastCrossRegionHeartbeat = s.Now
 	}
 	r.mu.Unlock()
+	if d.Uninformed != s.Uninformed {
+		r.Log.Info().Bool("uninformed", d.Uninformed).Int("hosts", len(s.Hosts)).Bool("hosts-listed", r.Catalog.AsOf(chivehillcatalog.Hosts) != 0).Strs("down", sortedNames(d.Down)).Msg("relay: this host is informed now.")
+	}
 	r.apply(d, watchChanged, downChanged)
 	if delegateChanged {
 		r.Log.Info().Str("delegate", string(d.Delegate)).Str("previous", string(s.Delegate)).Int("asked", s.Asked.count).Float64("contact-age-ms", float64(s.Now-d.ContactAt)).Msg("relay: the host that watches the store in place of this one changed.")
