upstream: a response that is reset behind a part of its body is not complete

What callers saw: a server answers an upload at once with a 200 that has no length, sends a part of the body and resets the connection while the upload is still being written. The caller got the part as a whole answer, with a length.

Cause: the kernel tells of a reset only once, to the write or to the read that asks first. If the write of the upload asked first, the read that followed returned a clean end. A body without a length ends with its connection, so it counted as complete; the error of the write was not looked at. It is not a matter of long uploads: a short request whose write meets a reset has it too, on new and on kept connections.

Why this fix works: a read sees a false end only if a write was told of the loss. The exchange waits for its write anyway, so for a body without a length it now looks at the error: a loss means that the end was none. A broken pipe is no loss: the kernel gives it behind an end that arrived in order, behind the whole body. The request counts as one that may have run: 502, or another server if it is idempotent.

--- a/internal/chivehillupstream/conn.go
+++ b/internal/chivehillupstream/conn.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/chivehill/chivehill/internal/chivehillbudget"
+	"github.com/chivehill/chivehill/internal/chivehillresponse"
 )
 
 const (
@@ -118,26 +119,27 @@
 	return err
 }
 
-// exchange sends a request and reads its complete response. reusable reports whether
+// exchange sends a request and reads its complete response. usable reports whether
 // the connection can carry another request. The exchange is aborted when ctx is done.
-func (c *conn) exchange(ctx context.Context, r *Request, parser HeaderParser) (response Response, reusable bool, err error) {
+func (c *conn) exchange(ctx context.Context, r *Request, parser HeaderParser) (response Response, usable bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = c.SetDeadline(deadline)
 	}
 	written := c.startWrite(r)
-	response, reusable, err = c.readResponse(r, parser)
+	response, after, err := c.readResponse(r, parser)
 	if err != nil {
 		_ = c.Close()
 		<-written //nolint:errcheck // the read error tells why writing failed
 		return response, false, c.classifyError(ctx, err)
 	}
-	if !c.finishWrite(written) {
-		reusable = false
+	writeErr := c.finishWrite(written)
+	if after == bodyUntilEnd && chivehillresponse.ConnectionLost(writeErr) {
+		return Response{}, false, c.classifyError(ctx, fmt.Errorf("response body was cut off: %w", writeErr))
 	}
 	c.lastUsedAt, c.kept = time.Now(), true
-	return response, reusable && stop(), nil
+	return response, after == reusable && writeErr == nil && stop(), nil
 }
 
 // startWrite sends a request. A large one is sent in the background, since the server
@@ -152,20 +154,19 @@
 	return written
 }
 
-// finishWrite reports whether the request was sent completely, at the latest writeGrace
-// after its response. If not, it closes the connection: the server must not take the
-// rest of the body for another request.
-func (c *conn) finishWrite(written <-chan error) bool {
+// finishWrite returns the error of sending the request, at the latest writeGrace after its
+// response. If it is not sent completely by then, it closes the connection: the server must
+// not take the rest of the body for another request.
+func (c *conn) finishWrite(written <-chan error) error {
 	timer := time.NewTimer(writeGrace)
 	defer timer.Stop()
 	select {
 	case err := <-written:
-		return err == nil
+		return err
 	case <-timer.C:
 	}
 	_ = c.Close()
-	<-written //nolint:errcheck // the response is complete
-	return false
+	return <-written
 }
 
 // classifyError wraps the error of an exchange in ErrTimeout, ErrInvalidResponse or
@@ -181,28 +182,52 @@
 	return fmt.Errorf("exchange with %s: %w: %w", peer, ErrConnectionLost, err)
 }
 
+// connState is the state of a connection after a response.
+type connState int
+
+const (
+	// reusable means that the connection can carry another request.
+	reusable connState = iota
+	// closing means that the server closes the connection after the response.
+	closing
+	// bodyUntilEnd means that the body had no length: it ended with the connection.
+	bodyUntilEnd
+)
+
+// stateAfter returns the state of the connection after a response whose body was read.
+func stateAfter(r *http.Response) connState {
+	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+	switch {
+	case !framed && r.Body != http.NoBody:
+		return bodyUntilEnd
+	case !framed, r.Close, !r.ProtoAtLeast(1, 1):
+		return closing
+	}
+	return reusable
+}
+
 // readResponse reads the response to a request. It skips stale responses, which
 // belong to earlier requests. A failure without an identifier belongs to the request only
 // if the connection has carried no other one.
-func (c *conn) readResponse(r *Request, parser HeaderParser) (Response, bool, error) {
+func (c *conn) readResponse(r *Request, parser HeaderParser) (Response, connState, error) {
 	for range maxStaleResponses {
-		response, reusable, err := c.readNext(r, parser)
+		response, after, err := c.readNext(r, parser)
 		if err != nil {
-			return response, false, err
+			return response, closing, err
 		}
 		id := response.Metadata.RequestID
 		if id == r.ID || id == "" && !response.Succeeded() && !c.kept {
-			return response, reusable, nil
+			return response, after, nil
 		}
-		if !reusable {
-			return response, false, fmt.Errorf("%w: response belongs to request %q", ErrInvalidResponse, id)
+		if after != reusable {
+			return response, closing, fmt.Errorf("%w: response belongs to request %q", ErrInvalidResponse, id)
 		}
 	}
-	return Response{}, false, fmt.Errorf("%w: too many responses to other requests", ErrInvalidResponse)
+	return Response{}, closing, fmt.Errorf("%w: too many responses to other requests", ErrInvalidResponse)
 }
 
 // readNext reads the next final response. It skips interim ones, such as 100 Continue.
-func (c *conn) readNext(r *Request, parser HeaderParser) (Response, bool, error) {
+func (c *conn) readNext(r *Request, parser HeaderParser) (Response, connState, error) {
 	request := &http.Request{Method: r.Method}
 	c.bound.startHead()
 	defer c.bound.endHead()
@@ -210,9 +235,9 @@
 		resp, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			if isConnectionError(err) {
-				return Response{}, false, err
+				return Response{}, closing, err
 			}
-			return Response{}, false, fmt.Errorf("%w: %w", ErrInvalidResponse, err)
+			return Response{}, closing, fmt.Errorf("%w: %w", ErrInvalidResponse, err)
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
@@ -221,12 +246,12 @@
 		body, err := readBody(resp.Body, c.memory)
 		if err != nil {
 			// Closing the body would read the rest of it first.
-			return Response{}, false, err
+			return Response{}, closing, err
 		}
 		_ = resp.Body.Close()
 		response := Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Metadata: parser.ParseResponse(resp.StatusCode, resp.Header)}
 		c.idleTimeout = parseIdleTimeout(resp.Header)
-		return response, !resp.Close && resp.ProtoAtLeast(1, 1) && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0), nil
+		return response, stateAfter(resp), nil
 	}
 }
 
--- /dev/null
+++ b/internal/chivehillupstream/reset_test.go
@@ -0,0 +1,176 @@
+package chivehillupstream
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chivehill/chivehill/internal/chivehillbody"
+	"github.com/chivehill/chivehill/internal/chivehillbudget"
+)
+
+// longUpload is a body that the sockets of a connection on loopback don't hold.
+const longUpload = 8 << 20
+
+// reset ends a connection with a reset instead of an end.
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+// endThenReset ends a connection, and resets it while the peer still sends.
+func endThenReset(c net.Conn) {
+	_ = c.(*net.TCPConn).CloseWrite()
+	reset(c)
+}
+
+// serveConns starts a server that calls handle for each connection, and returns a pool of
+// connections to it.
+func serveConns(t *testing.T, handle func(c net.Conn)) *Pool {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go handle(c)
+		}
+	}()
+	return NewPool(l.Addr().String(), idParser{}, chivehillbudget.NewMemory(2*maxResponseBytes))
+}
+
+// TestResponseWithoutABodyCountsAsCutOff guards against a response that has no body, and no length either,
+// being taken for one whose body was cut off.
+func TestResponseWithoutABodyCountsAsCutOff(t *testing.T) {
+	proceed, ended := make(chan struct{}), make(chan struct{})
+	pool := serveConns(t, func(c net.Conn) {
+		defer close(ended)
+		<-proceed
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\n\r\n")
+		reset(c)
+	})
+	lease, err := pool.Take(t.Context(), 1000)
+	qt.Assert(t, err, qt.IsNil)
+	close(proceed)
+	<-ended
+	r := request("a")
+	r.Method = http.MethodHead
+	_, usable, err := lease.Do(t.Context(), r)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, usable, qt.IsFalse)
+}
+
+// upload returns a request with a body of the given size, or with none if that is 0.
+func upload(size int) *Request {
+	r := request("a")
+	if size > 0 {
+		r.Method, r.Body, r.HasBody = "POST", chivehillbody.Of(make([]byte, size)), true
+	}
+	return r
+}
+
+// endings are responses and how their connection ends.
+var endings = []struct {
+	about string
+	text  string
+	end   func(net.Conn)
+	whole bool
+}{
+	{"body without a length, reset", "HTTP/1.1 200 OK\r\nId: a\r\n\r\npart", reset, false},
+	{"empty body without a length, reset", "HTTP/1.1 200 OK\r\nId: a\r\n\r\n", reset, false},
+	{"long body without a length, reset", "HTTP/1.1 200 OK\r\nId: a\r\n\r\n" + strings.Repeat("part", 1<<15), reset, false},
+	{"body of HTTP/1.0, reset", "HTTP/1.0 200 OK\r\nId: a\r\n\r\npart", reset, false},
+	{"failure without a length, reset", "HTTP/1.1 500 Failed\r\nId: a\r\n\r\npart", reset, false},
+	{"part of a body with a length, reset", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\npart", reset, false},
+	{"part of a body in chunks, reset", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", reset, false},
+	{"part of a head, reset", "HTTP/1.1 200 OK\r\nId: a\r\n", reset, false},
+	{"body with a length, reset", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 4\r\n\r\nbody", reset, true},
+	{"body in chunks, reset", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", reset, true},
+	{"no body, reset", "HTTP/1.1 204 No Content\r\nId: a\r\n\r\n", reset, true},
+	{"body without a length, end, reset", "HTTP/1.1 200 OK\r\nId: a\r\n\r\nbody", endThenReset, true},
+}
+
+// TestResponseThatIsResetDuringAnUploadLooksComplete guards against a server that responds to an
+// upload at once and resets the connection while the upload is still being written. Whether the
+// write or the read learns of the reset is left to chance, so that each case is tried often.
+func TestResponseThatIsResetDuringAnUploadLooksComplete(t *testing.T) {
+	const tries = 30
+	for _, tt := range endings {
+		pool := serveConns(t, func(c net.Conn) {
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, tt.text)
+			tt.end(c)
+		})
+		complete := 0
+		for range tries {
+			lease, err := pool.Take(t.Context(), 1000)
+			qt.Assert(t, err, qt.IsNil)
+			response, usable, err := lease.Do(t.Context(), upload(longUpload))
+			qt.Check(t, usable, qt.IsFalse, qt.Commentf("%s", tt.about))
+			if err == nil {
+				complete++
+				continue
+			}
+			qt.Check(t, err, qt.ErrorIs, ErrConnectionLost, qt.Commentf("%s", tt.about))
+			qt.Check(t, response.Status, qt.Equals, 0, qt.Commentf("%s", tt.about))
+		}
+		want := 0
+		if tt.whole {
+			want = tries
+		}
+		qt.Check(t, complete, qt.Equals, want, qt.Commentf("%s: responses of %d that count as complete", tt.about, tries))
+	}
+}
+
+// TestResponseThatIsResetBeforeTheRequestLooksComplete guards against a server that resets the
+// connection behind a response before the request is written: then it is always the write that
+// learns of the reset. The connection is new, or has carried another request.
+func TestResponseThatIsResetBeforeTheRequestLooksComplete(t *testing.T) {
+	for _, tt := range endings {
+		for _, size := range []int{0, 48 << 10, longUpload} {
+			for _, kept := range []bool{false, true} {
+				about := qt.Commentf("%s, upload of %d bytes, kept connection %v", tt.about, size, kept)
+				proceed, ended := make(chan struct{}), make(chan struct{})
+				pool := serveConns(t, func(c net.Conn) {
+					defer close(ended)
+					if kept {
+						if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+							return
+						}
+						_, _ = io.WriteString(c, completeResponse("first", "body"))
+					}
+					<-proceed
+					_, _ = io.WriteString(c, tt.text)
+					tt.end(c)
+				})
+				lease, err := pool.Take(t.Context(), 1000)
+				qt.Assert(t, err, qt.IsNil)
+				if kept {
+					_, usable, err := lease.Do(t.Context(), request("first"))
+					qt.Assert(t, err, qt.IsNil)
+					qt.Assert(t, usable, qt.IsTrue)
+				}
+				close(proceed)
+				<-ended
+				_, usable, err := lease.Do(t.Context(), upload(size))
+				qt.Check(t, usable, qt.IsFalse, about)
+				if tt.whole {
+					qt.Check(t, err, qt.IsNil, about)
+					continue
+				}
+				qt.Check(t, err, qt.ErrorIs, ErrConnectionLost, about)
+			}
+		}
+	}
+}
