--- a/internal/chivehillupstream/reset_test.go
+++ b/internal/chivehillupstream/reset_test.go
@@ -5,30 +5,18 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chivehill/chivehill/internal/chivehillbody"
 	"github.com/chivehill/chivehill/internal/chivehillbudget"
+	"github.com/chivehill/chivehill/internal/chivehillresponse/chivehillresponsetest"
 )
 
 // longUpload is a body that the sockets of a connection on loopback don't hold.
 const longUpload = 8 << 20
 
-// reset ends a connection with a reset instead of an end.
-func reset(c net.Conn) {
-	_ = c.(*net.TCPConn).SetLinger(0)
-	_ = c.Close()
-}
-
-// endThenReset ends a connection, and resets it while the peer still sends.
-func endThenReset(c net.Conn) {
-	_ = c.(*net.TCPConn).CloseWrite()
-	reset(c)
-}
-
 // serveConns starts a server that calls handle for each connection, and returns a pool of
 // connections to it.
 func serveConns(t *testing.T, handle func(c net.Conn)) *Pool {
@@ -56,7 +44,7 @@
 		defer close(ended)
 		<-proceed
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\n\r\n")
-		reset(c)
+		chivehillresponsetest.Reset(c)
 	})
 	lease, err := pool.Take(t.Context(), 1000)
 	qt.Assert(t, err, qt.IsNil)
@@ -78,58 +66,37 @@
 	return r
 }
 
-// endings are responses and how their connection ends.
-var endings = []struct {
-	about string
-	text  string
-	end   func(net.Conn)
-	whole bool
-}{
-	{"body without a length, reset", "HTTP/1.1 200 OK\r\nId: a\r\n\r\npart", reset, false},
-	{"empty body without a length, reset", "HTTP/1.1 200 OK\r\nId: a\r\n\r\n", reset, false},
-	{"long body without a length, reset", "HTTP/1.1 200 OK\r\nId: a\r\n\r\n" + strings.Repeat("part", 1<<15), reset, false},
-	{"body of HTTP/1.0, reset", "HTTP/1.0 200 OK\r\nId: a\r\n\r\npart", reset, false},
-	{"failure without a length, reset", "HTTP/1.1 500 Failed\r\nId: a\r\n\r\npart", reset, false},
-	{"part of a body with a length, reset", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\npart", reset, false},
-	{"part of a body in chunks, reset", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", reset, false},
-	{"part of a head, reset", "HTTP/1.1 200 OK\r\nId: a\r\n", reset, false},
-	{"body with a length, reset", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 4\r\n\r\nbody", reset, true},
-	{"body in chunks, reset", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", reset, true},
-	{"no body, reset", "HTTP/1.1 204 No Content\r\nId: a\r\n\r\n", reset, true},
-	{"body without a length, end, reset", "HTTP/1.1 200 OK\r\nId: a\r\n\r\nbody", endThenReset, true},
-}
-
 // TestResponseThatIsResetDuringAnUploadLooksComplete guards against a server that responds to an
 // upload at once and resets the connection while the upload is still being written. Whether the
 // write or the read learns of the reset is left to chance, so that each case is tried often.
 func TestResponseThatIsResetDuringAnUploadLooksComplete(t *testing.T) {
 	const tries = 30
-	for _, tt := range endings {
+	for _, tt := range chivehillresponsetest.Endings {
 		pool := serveConns(t, func(c net.Conn) {
 			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 				return
 			}
-			_, _ = io.WriteString(c, tt.text)
-			tt.end(c)
+			_, _ = io.WriteString(c, tt.Text)
+			tt.End(c)
 		})
 		complete := 0
 		for range tries {
 			lease, err := pool.Take(t.Context(), 1000)
 			qt.Assert(t, err, qt.IsNil)
 			response, usable, err := lease.Do(t.Context(), upload(longUpload))
-			qt.Check(t, usable, qt.IsFalse, qt.Commentf("%s", tt.about))
+			qt.Check(t, usable, qt.IsFalse, qt.Commentf("%s", tt.About))
 			if err == nil {
 				complete++
 				continue
 			}
-			qt.Check(t, err, qt.ErrorIs, ErrConnectionLost, qt.Commentf("%s", tt.about))
-			qt.Check(t, response.Status, qt.Equals, 0, qt.Commentf("%s", tt.about))
+			qt.Check(t, err, qt.ErrorIs, ErrConnectionLost, qt.Commentf("%s", tt.About))
+			qt.Check(t, response.Status, qt.Equals, 0, qt.Commentf("%s", tt.About))
 		}
 		want := 0
-		if tt.whole {
+		if tt.Whole {
 			want = tries
 		}
-		qt.Check(t, complete, qt.Equals, want, qt.Commentf("%s: responses of %d that count as complete", tt.about, tries))
+		qt.Check(t, complete, qt.Equals, want, qt.Commentf("%s: responses of %d that count as complete", tt.About, tries))
 	}
 }
 
@@ -137,10 +104,10 @@
 // connection behind a response before the request is written: then it is always the write that
 // learns of the reset. The connection is new, or has carried another request.
 func TestResponseThatIsResetBeforeTheRequestLooksComplete(t *testing.T) {
-	for _, tt := range endings {
+	for _, tt := range chivehillresponsetest.Endings {
 		for _, size := range []int{0, 48 << 10, longUpload} {
 			for _, kept := range []bool{false, true} {
-				about := qt.Commentf("%s, upload of %d bytes, kept connection %v", tt.about, size, kept)
+				about := qt.Commentf("%s, upload of %d bytes, kept connection %v", tt.About, size, kept)
 				proceed, ended := make(chan struct{}), make(chan struct{})
 				pool := serveConns(t, func(c net.Conn) {
 					defer close(ended)
@@ -151,8 +118,8 @@
 						_, _ = io.WriteString(c, completeResponse("first", "body"))
 					}
 					<-proceed
-					_, _ = io.WriteString(c, tt.text)
-					tt.end(c)
+					_, _ = io.WriteString(c, tt.Text)
+					tt.End(c)
 				})
 				lease, err := pool.Take(t.Context(), 1000)
 				qt.Assert(t, err, qt.IsNil)
@@ -165,7 +132,7 @@
 				<-ended
 				_, usable, err := lease.Do(t.Context(), upload(size))
 				qt.Check(t, usable, qt.IsFalse, about)
-				if tt.whole {
+				if tt.Whole {
 					qt.Check(t, err, qt.IsNil, about)
 					continue
 				}
