dispatch: a refusal or a health response that is cut off does not count

What happens, through `chivehill serve`: a server says 503, not run, and its response breaks off within the body: the request counted as not run and was sent again, a non-idempotent one too. A health check whose response breaks off within the body counted as good.

Cause: these two bodies are not used and were read to discard them, without a look at the error.

Evidence, before: TestBrokenRefusalProvesThatTheRequestHasNotRun, `not run` for a body cut off behind a length and in chunks; TestBrokenHealthResponseCountsAsHealthy, healthy for the same two. After: the request may have run, the probe failed. Whole refusals count as before, those with a body that ends with the connection too.

Why this fix works: a response counts only if its body could be read to its end, or to the 64 KB that are discarded at most. The gateway reads each body before it looks at the head, and has not this fault.

--- a/internal/chivehilldispatch/dispatch.go
+++ b/internal/chivehilldispatch/dispatch.go
@@ -199,8 +199,11 @@
 		if state == chivehillheader.StateDraining {
 			a.Result = chivehillbalance.Drains
 		}
-		_, _ = io.CopyN(io.Discard, resp.Body, maxDiscardBytes)
+		err := discard(resp.Body)
 		_ = resp.Body.Close()
+		if err != nil {
+			return d.cutOff(ctx, a, err)
+		}
 		return a
 	}
 	if state == chivehillheader.StateDraining {
@@ -226,10 +229,7 @@
 		a.Response = response
 	case err != nil:
 		_ = resp.Body.Close()
-		failed := d.classifyError(ctx, err, true)
-		failed.Cold = a.Cold
-		failed.Err = err
-		return failed
+		return d.cutOff(ctx, a, err)
 	case n > buffer:
 		response.Rest = resp.Body
 		a.Response = response
@@ -237,6 +237,24 @@
 	return a
 }
 
+// cutOff returns the attempt for a response whose head was classified as a and whose body was
+// cut off: nothing of it counts but that the server is cold.
+func (d *Dispatcher) cutOff(ctx context.Context, a Attempt, err error) Attempt {
+	failed := d.classifyError(ctx, err, true)
+	failed.Cold, failed.Err = a.Cold, err
+	return failed
+}
+
+// discard reads a body that is not used, at most maxDiscardBytes of it. It returns an error if
+// the body was cut off.
+func discard(body io.Reader) error {
+	_, err := io.CopyN(io.Discard, body, maxDiscardBytes)
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
 // Health is the response to a health probe.
 type Health struct {
 	Status int
@@ -251,6 +269,8 @@
 		return Health{}, fmt.Errorf("probe %s: %w", req.URL.Host, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	_, _ = io.CopyN(io.Discard, resp.Body, maxDiscardBytes)
+	if err := discard(resp.Body); err != nil {
+		return Health{}, fmt.Errorf("probe %s: %w", req.URL.Host, err)
+	}
 	return Health{Status: resp.StatusCode, State: resp.Header.Get(chivehillheader.ServerState)}, nil
 }
