upstream: a response whose status is none is invalid, not an interim one

What callers saw: a server in trouble sends an answer whose status is 000. No caller got it, but each waited until its time was over, 504, an idempotent request too; and if bytes that look like a response followed, the caller got those.

Cause: every status below 200 counted as that of an interim response and was skipped; the exchange waited for the next one. net/http reads any three digits as a status. 101, which no request asks for, was skipped as well.

After: the broken response ends the exchange, an idempotent request goes to the other server, any other gets 502 at once.

Why this fix works: chivehillresponse.Check rejects what RFC 9110 does not define as interim or final before it is skipped. Statuses above 599 still pass unchanged and count as failures, as RFC 9110, 15, asks: TestResponsesWithValidStatusesPass.

--- a/internal/chivehillupstream/conn.go
+++ b/internal/chivehillupstream/conn.go
@@ -239,6 +239,9 @@
 			}
 			return Response{}, closing, fmt.Errorf("%w: %w", ErrInvalidResponse, err)
 		}
+		if err := chivehillresponse.Check(resp); err != nil {
+			return Response{}, closing, fmt.Errorf("%w: %w", ErrInvalidResponse, err)
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
