upstream: a response in whose head a field name holds a space is invalid

What callers saw: a server in trouble sends an answer in whose head the name of a field holds a blank. The caller got it as an answer, with that line; behind `Content-Length : 4` it got a body that was not the server's, `body and more`.

Cause: net/textproto lets a space pass in the name of a field, as the only byte that no token holds, and keeps the name as it is. Nothing looked at the names of responses; those of requests are checked by the front.

TestFieldNameThatIsNoTokenPasses: 17 names, before, behind and in place of the length, in chunks, failures and interim responses, of requests and health checks, on new and kept connections: those with a space pass. After: all are invalid, 502 or another server.

Already handled: names with a control byte, a tab among them, another odd byte, or no byte at all. net/textproto refuses them; the rows stay.

Why this fix works: Check rejects the one byte that is let pass before the response is used, so nothing of a broken head counts, its length and its refusal neither.

--- a/internal/chivehillresponse/check.go
+++ b/internal/chivehillresponse/check.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // ErrBroken means that what was received is not a response, although net/http could read its head.
@@ -15,5 +16,11 @@
 	if r.StatusCode < http.StatusContinue || r.StatusCode == http.StatusSwitchingProtocols {
 		return fmt.Errorf("%w: status %03d", ErrBroken, r.StatusCode)
 	}
+	for name := range r.Header {
+		// Of all bytes that no name may hold, net/http lets only this one pass.
+		if strings.Contains(name, " ") {
+			return fmt.Errorf("%w: space in the name of field %.64q", ErrBroken, name)
+		}
+	}
 	return nil
 }
--- a/internal/chivehillupstream/broken_test.go
+++ b/internal/chivehillupstream/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -102,3 +103,24 @@
 		}
 	}
 }
+
+// TestFieldNameThatIsNoTokenPasses guards against a head in which the name of a field holds a
+// byte that no name may hold: the line was passed on, or framed the body otherwise than another
+// reader would.
+func TestFieldNameThatIsNoTokenPasses(t *testing.T) {
+	var responses []brokenResponse
+	for _, name := range []string{"X Y", "X ", "X Y Z", "Content-Length ", "Transfer-Encoding ", "Id ", "X\tY", "X\t", "X\x00Y", "\x01X", "X\x1b", "X\x7f", "X\rY", "X\x80", "X(Y", "X\"", ""} {
+		for _, value := range []string{"4", "chunked"} {
+			line := name + ": " + value + "\r\n"
+			responses = append(responses,
+				brokenResponse{fmt.Sprintf("%q before the length", line), "HTTP/1.1 200 OK\r\n" + line + "Id: a\r\nContent-Length: 4\r\n\r\nbody"},
+				brokenResponse{fmt.Sprintf("%q behind the length", line), "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 4\r\n" + line + "\r\nbody"},
+				brokenResponse{fmt.Sprintf("%q in place of the length", line), "HTTP/1.1 200 OK\r\nId: a\r\n" + line + "\r\nbody"},
+				brokenResponse{fmt.Sprintf("%q in a failure", line), "HTTP/1.1 500 Failed\r\nId: a\r\n" + line + "Content-Length: 4\r\n\r\nbody"},
+				brokenResponse{fmt.Sprintf("%q in an interim response", line), "HTTP/1.1 100 Continue\r\n" + line + "\r\n" + completeResponse("a", "body")},
+				brokenResponse{fmt.Sprintf("%q with chunks", line), "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n" + line + "\r\n4\r\nbody\r\n0\r\n\r\n"},
+			)
+		}
+	}
+	checkBroken(t, responses)
+}
