dispatch: a response with a broken head does not count

What callers saw, through `chivehill serve`: a response of status 000 ended the caller's connection without an answer, and of a request with a key it was told as `done`; a head in which a field name holds a space was passed on, with `body and more` behind `Content-Length : 4`. Health checks answered 000 counted as healthy.

Cause: net/http hands such responses to its user, and the dispatcher took any status below 500 for a good one.

Evidence, before: TestResponseWithABrokenHeadCounts, nine of eleven forms pass, as responses and as health checks (status 000, 099 and 101, spaces in names); TestOutcomes, four of its five new rows: outcome none or `done` instead of `unknown`, the caller's connection closed. After: all fail, outcome `unknown`, retried if idempotent.

Already handled: control bytes in names, the other two forms.

Why this fix works: all responses of servers reach the dispatcher through one transport, which now passes on only those that chivehillresponse.Check accepts, as the gateway does.

--- a/internal/chivehilldispatch/dispatch.go
+++ b/internal/chivehilldispatch/dispatch.go
@@ -21,6 +21,7 @@
 	"github.com/chivehill/chivehill/internal/chivehillid"
 	"github.com/chivehill/chivehill/internal/chivehillinvariant"
 	"github.com/chivehill/chivehill/internal/chivehillregion"
+	"github.com/chivehill/chivehill/internal/chivehillresponse"
 )
 
 const (
@@ -95,7 +96,7 @@
 // Dispatcher sends requests to servers. It is safe for concurrent use.
 type Dispatcher struct {
 	clock     *chivehillclock.Clock
-	transport *http.Transport
+	transport chivehillresponse.Transport
 }
 
 // New returns a dispatcher. disconnected is called with the address of a server
@@ -111,10 +112,10 @@
 	}
 	return &Dispatcher{
 		clock: clock,
-		transport: &http.Transport{
+		transport: chivehillresponse.Transport{Transport: &http.Transport{
 			DialContext: dial, MaxConnsPerHost: maxConnections, MaxIdleConnsPerHost: maxIdleConnections,
 			IdleConnTimeout: idleTimeout, DisableCompression: true, ReadBufferSize: readBufferBytes, WriteBufferSize: writeBufferBytes, MaxResponseHeaderBytes: maxHeadBytes,
-		},
+		}},
 	}
 }
 
--- a/internal/chivehillentry/entry_test.go
+++ b/internal/chivehillentry/entry_test.go
@@ -180,8 +180,23 @@
 	}
 }
 
+// sendRaw sends bytes in place of a response.
+func sendRaw(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, text)
+		_ = c.Close()
+	}
+}
+
 func TestOutcomes(t *testing.T) {
 	const small, large = 100, 1 << 20
+	noStatus := sendRaw("HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\nbody")
+	noName := sendRaw("HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody and more")
+	cutRefusal := sendRaw("HTTP/1.1 503 Busy\r\n" + chivehillheader.NotRun + ": true\r\nContent-Length: 5\r\n\r\nbusy")
 	tests := []struct {
 		name    string
 		servers []http.HandlerFunc
@@ -201,6 +216,11 @@
 		{name: "keyed, broken connection is not retried", servers: []http.HandlerFunc{abortConnection, abortConnection, abortConnection}, write: true, outcome: "unknown", reason: "server-broke", runs: 1},
 		{name: "truncated buffered response is retried", servers: []http.HandlerFunc{truncateBody(small), truncateBody(small)}, outcome: "unknown", reason: "server-broke", runs: 2},
 		{name: "keyed, truncated response is not retried", servers: []http.HandlerFunc{truncateBody(small)}, write: true, outcome: "unknown", reason: "server-broke", runs: 1},
+		{name: "responses of status 000", servers: []http.HandlerFunc{noStatus, noStatus}, outcome: "unknown", reason: "server-broke", runs: 2},
+		{name: "keyed, response of status 000 is not retried", servers: []http.HandlerFunc{noStatus, noStatus}, write: true, outcome: "unknown", reason: "server-broke", runs: 1},
+		{name: "responses with a space in a field name", servers: []http.HandlerFunc{noName, noName}, outcome: "unknown", reason: "server-broke", runs: 2},
+		{name: "keyed, response with a space in a field name is not retried", servers: []http.HandlerFunc{noName, noName}, write: true, outcome: "unknown", reason: "server-broke", runs: 1},
+		{name: "keyed, refusal that is cut off is not retried", servers: []http.HandlerFunc{cutRefusal, cutRefusal}, write: true, outcome: "unknown", reason: "server-broke", runs: 1},
 		{name: "truncated streamed response aborts the connection", servers: []http.HandlerFunc{truncateBody(large)}, outcome: "done", runs: 1, truncated: true},
 	}
 	for _, tt := range tests {
