store: a response of the store with a space in a field name does not count

What happens, in `chivehill serve`: a response of the store in whose head a field name holds a space counted, and a write that was answered 412 with such a head was told to the operator as a conflict, though nothing of the answer is known.

Cause: net/http lets the space pass, as in the responses of servers.

Evidence, before: TestBrokenResponseCounts: with a space in a name a read, a watch and a write count, a write also with the space behind the name of the version. After: reads fail, and the outcome of a write is uncertain.

Already handled: status 000, 099 and 101, since the client expects exact statuses, and control bytes in names.

The stand-in that sends raw bytes is shared by the tests of both clients of a store.

--- a/internal/chivehillstore/client.go
+++ b/internal/chivehillstore/client.go
@@ -13,6 +13,7 @@
 	"strconv"
 
 	"github.com/chivehill/chivehill/internal/chivehillclock"
+	"github.com/chivehill/chivehill/internal/chivehillresponse"
 )
 
 // Names of the objects that Chivehill keeps in the store.
@@ -56,7 +57,7 @@
 
 // NewClient returns a client for the store at address (host:port).
 func NewClient(address string) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 8}
+	transport := chivehillresponse.Transport{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
 	return &Client{baseURL: "http://" + address + "/v1/objects/", httpClient: &http.Client{Transport: transport}}
 }
 
