node: a host list with a broken head does not count

What happens, in `chivehill serve`: a host list that is answered with status 000, or with a space in a field name, replaced the hosts through which a starting host looks for its peers.

Cause: net/http hands such responses on, and the status of the list is not looked at.

Evidence, before: TestBrokenHostListCounts, status 000, status 099 and the space in a name count. After: they fail, and the hosts known before stay. Already handled: status 101, control bytes in names, lists and heads that break off.

Not changed: a list that comes with another status counts as before; a status that HTTP defines is not this incident's.

--- a/internal/chivehillnode/hosts.go
+++ b/internal/chivehillnode/hosts.go
@@ -12,6 +12,7 @@
 	"github.com/chivehill/chivehill/internal/chivehillentry"
 	"github.com/chivehill/chivehill/internal/chivehillid"
 	"github.com/chivehill/chivehill/internal/chivehillregion"
+	"github.com/chivehill/chivehill/internal/chivehillresponse"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
 )
 
@@ -103,7 +104,8 @@
 	if err != nil {
 		return fmt.Errorf("host list: build request: %w", err)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	client := http.Client{Transport: chivehillresponse.Transport{Transport: &http.Transport{DisableKeepAlives: true}}}
+	resp, err := client.Do(req)
 	if err != nil {
 		return fmt.Errorf("host list: request: %w", err)
 	}
