test: the raw store says that it closes the connection

TestBrokenResponseCounts failed once, at "put, whole", with EOF. Traced: its stand-in closes each connection behind the response without saying so, and the client, which keeps connections, sent the next request on one that was being closed.

--- a/internal/chivehillstore/broken_test.go
+++ b/internal/chivehillstore/broken_test.go
@@ -12,7 +12,7 @@
 // TestBrokenResponseCounts guards against a response of the store whose status is none, or in
 // whose head the name of a field is none.
 func TestBrokenResponseCounts(t *testing.T) {
-	const fields = "Object-Version: 7\r\nContent-Length: 2\r\n"
+	const fields = "Connection: close\r\nObject-Version: 7\r\nContent-Length: 2\r\n"
 	tests := []struct {
 		about  string
 		head   string
