response: a peer's handshake with a broken head does not count

What happens: a response to the WebSocket handshake between hosts in whose head a field name holds a space opened the connection. The rest of its head is not used, so nothing wrong followed from it; but an answer known to be broken is none.

Cause: net/http lets the space pass, as in the responses of servers.

Evidence, before: TestBrokenHandshakeCounts, two of seven heads open a connection: a space in a name, and behind that of the extensions. After: none but the whole one.

Already handled: another status than 101, control bytes in names, and messages that break off at any byte, in the handshake or in the message (TestMessageThatStopsEarlyCounts): they have a length.

Why this fix works: all connections to peers, of the catalog, of quotas and of `chivehill serve`, are dialed through chivehillresponse.NewClient, which the clients of the store and of the host list use, too. A switch of protocols passes Check only if the request asked for one.

--- a/internal/chivehillnode/hosts.go
+++ b/internal/chivehillnode/hosts.go
@@ -104,8 +104,7 @@
 	if err != nil {
 		return fmt.Errorf("host list: build request: %w", err)
 	}
-	client := http.Client{Transport: chivehillresponse.Transport{Transport: &http.Transport{DisableKeepAlives: true}}}
-	resp, err := client.Do(req)
+	resp, err := chivehillresponse.NewClient(&http.Transport{DisableKeepAlives: true}).Do(req)
 	if err != nil {
 		return fmt.Errorf("host list: request: %w", err)
 	}
--- a/internal/chivehillpeer/link.go
+++ b/internal/chivehillpeer/link.go
@@ -146,7 +146,9 @@
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout.Duration())
 	defer cancel()
 	//nolint:bodyclose // the library closes the body of the handshake response
-	conn, _, err := websocket.Dial(ctx, "ws://"+l.member.PeerAddress+Path, &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled})
+	conn, _, err := websocket.Dial(ctx, "ws://"+l.member.PeerAddress+Path, &websocket.DialOptions{
+		CompressionMode: websocket.CompressionDisabled, HTTPClient: l.mesh.client,
+	})
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", l.member.PeerAddress, err)
 	}
--- a/internal/chivehillpeer/mesh.go
+++ b/internal/chivehillpeer/mesh.go
@@ -22,6 +22,7 @@
 	"github.com/chivehill/chivehill/internal/chivehillcodec"
 	"github.com/chivehill/chivehill/internal/chivehillid"
 	"github.com/chivehill/chivehill/internal/chivehillmetrics"
+	"github.com/chivehill/chivehill/internal/chivehillresponse"
 	"github.com/chivehill/chivehill/internal/chivehillwire"
 )
 
@@ -73,6 +74,7 @@
 	metrics *chivehillmetrics.Metrics
 	log     zerolog.Logger
 	receive func(Message)
+	client  *http.Client
 	// connected may be nil.
 	connected func(chivehillwire.Member, *chivehillwire.Envelope)
 
@@ -102,7 +104,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Mesh{
 		self: o.Self, secret: o.Secret, silence: o.Silence, clock: o.Clock, metrics: o.Metrics, log: o.Log, receive: o.Receive, connected: o.Connected,
-		ctx: ctx, cancel: cancel,
+		client: chivehillresponse.NewClient(&http.Transport{DisableKeepAlives: true}),
+		ctx:    ctx, cancel: cancel,
 		links: make(map[chivehillid.HostID]*link), peers: make(map[chivehillid.HostID]*peerState),
 	}
 }
--- a/internal/chivehillquota/service.go
+++ b/internal/chivehillquota/service.go
@@ -12,6 +12,7 @@
 	"github.com/chivehill/chivehill/internal/chivehillcatalog"
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillresponse"
 	"github.com/chivehill/chivehill/internal/chivehillwake"
 )
 
@@ -79,7 +80,7 @@
 	now := o.Clock.Now()
 	s := &Service{
 		Options: o, ctx: ctx, cancel: cancel, wake: chivehillwake.New(), joined: make(chan dialed, 1),
-		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		client: chivehillresponse.NewClient(&http.Transport{DisableKeepAlives: true}),
 		owner:  NewOwner(o.Bounds(), now), asker: NewClient(now), failed: make(map[chivehillid.HostID]failure),
 	}
 	s.ConfigurationChanged()
--- a/internal/chivehillrelay/relay.go
+++ b/internal/chivehillrelay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/chivehill/chivehill/internal/chivehillcatalog"
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 	"github.com/chivehill/chivehill/internal/chivehillid"
+	"github.com/chivehill/chivehill/internal/chivehillresponse"
 	"github.com/chivehill/chivehill/internal/chivehillsuspect"
 	"github.com/chivehill/chivehill/internal/chivehillwake"
 )
@@ -105,7 +106,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Relay{
 		Options: o, ctx: ctx, cancel: cancel, started: o.Clock.Now(), links: make(map[linkKey]*link), dialState: make(map[string]*dialState), wake: chivehillwake.New(),
-		client:     &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		client:     chivehillresponse.NewClient(&http.Transport{DisableKeepAlives: true}),
 		lastSeenAt: make(map[chivehillid.HostID]chivehillclock.Millis), requestedAt: make(map[chivehillcatalog.Collection]chivehillclock.Millis),
 	}
 	// When the whole deployment starts for the first time, nobody knows anything.
--- a/internal/chivehillresponse/check.go
+++ b/internal/chivehillresponse/check.go
@@ -11,9 +11,9 @@
 var ErrBroken = errors.New("broken response")
 
 // Check returns an error that wraps ErrBroken if the head of a response is broken. Interim
-// responses pass, except for a switch of protocols, which no request asks for.
+// responses pass, a switch of protocols only if the request asked for it.
 func Check(r *http.Response) error {
-	if r.StatusCode < http.StatusContinue || r.StatusCode == http.StatusSwitchingProtocols {
+	if r.StatusCode < http.StatusContinue || r.StatusCode == http.StatusSwitchingProtocols && r.Request.Header.Get("Upgrade") == "" {
 		return fmt.Errorf("%w: status %03d", ErrBroken, r.StatusCode)
 	}
 	for name := range r.Header {
--- a/internal/chivehillresponse/chivehillresponsetest/server.go
+++ b/internal/chivehillresponse/chivehillresponsetest/server.go
@@ -2,16 +2,20 @@
 
 import (
 	"bufio"
+	"crypto/sha1" //nolint:gosec // RFC 6455 asks for it
+	"encoding/base64"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 )
 
 // StartServer starts a server that sends text in response to each request and then closes the
-// connection. It returns its address.
+// connection, with the value that accepts the request in place of AcceptKey. It returns its
+// address.
 func StartServer(t testing.TB, text string) string {
 	t.Helper()
 	var config net.ListenConfig
@@ -30,6 +34,12 @@
 	return l.Addr().String()
 }
 
+// AcceptKey stands in a text for the value that accepts the WebSocket handshake of a request.
+const AcceptKey = "{accept}"
+
+// acceptSuffix is the constant of RFC 6455, 1.3.
+const acceptSuffix = "258EAFA5-E914-47DA-95CA-C5AB0DC85B11"
+
 func respond(c net.Conn, text string) {
 	defer func() { _ = c.Close() }()
 	r, err := http.ReadRequest(bufio.NewReader(c))
@@ -37,5 +47,6 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
-	_, _ = io.WriteString(c, text)
+	digest := sha1.Sum([]byte(r.Header.Get("Sec-WebSocket-Key") + acceptSuffix)) //nolint:gosec // as above
+	_, _ = io.WriteString(c, strings.ReplaceAll(text, AcceptKey, base64.StdEncoding.EncodeToString(digest[:])))
 }
--- a/internal/chivehillstore/client.go
+++ b/internal/chivehillstore/client.go
@@ -57,8 +57,7 @@
 
 // NewClient returns a client for the store at address (host:port).
 func NewClient(address string) *Client {
-	transport := chivehillresponse.Transport{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
-	return &Client{baseURL: "http://" + address + "/v1/objects/", httpClient: &http.Client{Transport: transport}}
+	return &Client{baseURL: "http://" + address + "/v1/objects/", httpClient: chivehillresponse.NewClient(&http.Transport{MaxIdleConnsPerHost: 8})}
 }
 
 // Get returns the current version of an object, or ErrNotFound.
