--- a/internal/chivehillupstream/broken_test.go
+++ b/internal/chivehillupstream/broken_test.go
@@ -124,3 +124,27 @@
 	}
 	checkBroken(t, responses)
 }
+
+// TestTrailersPass checks that nothing of a trailer is passed on, and that one that cannot be read
+// makes the response broken.
+func TestTrailersPass(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: a\r\nTrailer: X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
+	tests := []struct {
+		trailer string
+		whole   bool
+	}{
+		{"X: 1\r\n", true},
+		{"X Y: 1\r\n", true},
+		{"Content-Length : 2\r\n", true},
+		{"X\x01Y: 1\r\n", false},
+		{"X\tY: 1\r\n", false},
+	}
+	for _, tt := range tests {
+		response, err := exchangeWith(t, request("a"), head+tt.trailer+"\r\n", false)
+		qt.Check(t, err == nil, qt.Equals, tt.whole, qt.Commentf("%q: %v", tt.trailer, err))
+		if err == nil {
+			qt.Check(t, string(response.Body), qt.Equals, "body", qt.Commentf("%q", tt.trailer))
+			qt.Check(t, response.Header, qt.DeepEquals, http.Header{"Id": {"a"}}, qt.Commentf("%q", tt.trailer))
+		}
+	}
+}
--- a/internal/chivehillupstream/conn_test.go
+++ b/internal/chivehillupstream/conn_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -257,6 +258,8 @@
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n" + completeResponse("a", "body")))
 	f.Add([]byte("HTTP/1.1 503 Busy\r\nId: old\r\nContent-Length: 0\r\n\r\n" + completeResponse("a", "body")[:40]))
+	f.Add([]byte("HTTP/1.1 000 Trouble\r\nId: a\r\nContent-Length: 0\r\n\r\n" + completeResponse("a", "body")))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length : 4\r\n\r\nbody and more"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		client, server := net.Pipe()
 		defer func() { _ = client.Close() }()
@@ -270,6 +273,14 @@
 		if err == nil && response.Metadata.RequestID != "a" {
 			t.Fatalf("returned the response to request %q, want one to request a", response.Metadata.RequestID)
 		}
+		if err == nil && response.Status < http.StatusOK {
+			t.Fatalf("returned a response of status %d", response.Status)
+		}
+		for name := range response.Header {
+			if err == nil && strings.ContainsAny(name, " \t\x00\x7f") {
+				t.Fatalf("returned a response with a field named %q", name)
+			}
+		}
 	})
 }
 
