--- a/internal/chivehilldispatch/dispatch_test.go
+++ b/internal/chivehilldispatch/dispatch_test.go
@@ -15,29 +15,19 @@
 
 	"github.com/chivehill/chivehill/internal/chivehillclock"
 	"github.com/chivehill/chivehill/internal/chivehillregion"
+	"github.com/chivehill/chivehill/internal/chivehillresponse/chivehillresponsetest"
 )
 
 // serve starts a server that calls handle for each request and then closes the connection.
 func serve(t *testing.T, handle func(net.Conn)) Target {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					handle(c)
-				}
-			}()
+	address := chivehillresponsetest.Accept(t, func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			handle(c)
 		}
-	}()
-	return Target{Name: "server", Address: l.Addr().String()}
+	})
+	return Target{Name: "server", Address: address}
 }
 
 // countedConn counts the bytes that are read.
--- a/internal/chivehillresponse/chivehillresponsetest/server.go
+++ b/internal/chivehillresponse/chivehillresponsetest/server.go
@@ -13,10 +13,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// StartServer starts a server that sends text in response to each request and then closes the
-// connection, with the value that accepts the request in place of AcceptKey. It returns its
-// address.
-func StartServer(t testing.TB, text string) string {
+// Accept starts a server that calls handle for each connection, and returns its address.
+func Accept(t testing.TB, handle func(net.Conn)) string {
 	t.Helper()
 	var config net.ListenConfig
 	l, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
@@ -28,12 +26,20 @@
 			if err != nil {
 				return
 			}
-			go respond(c, text)
+			go handle(c)
 		}
 	}()
 	return l.Addr().String()
 }
 
+// StartServer starts a server that sends text in response to each request and then closes the
+// connection, with the value that accepts the request in place of AcceptKey. It returns its
+// address.
+func StartServer(t testing.TB, text string) string {
+	t.Helper()
+	return Accept(t, func(c net.Conn) { respond(c, text) })
+}
+
 // AcceptKey stands in a text for the value that accepts the WebSocket handshake of a request.
 const AcceptKey = "{accept}"
 
--- a/internal/chivehillupstream/conn_test.go
+++ b/internal/chivehillupstream/conn_test.go
@@ -30,29 +30,17 @@
 // and returns a pool of connections to it.
 func serve(t *testing.T, handle func(c net.Conn, n int, r *http.Request)) *Pool {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
+	return serveConns(t, func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		reader := bufio.NewReader(c)
+		for n := 0; ; n++ {
+			r, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				reader := bufio.NewReader(c)
-				for n := 0; ; n++ {
-					r, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					handle(c, n, r)
-				}
-			}()
+			handle(c, n, r)
 		}
-	}()
-	return NewPool(l.Addr().String(), idParser{}, chivehillbudget.NewMemory(2*maxResponseBytes))
+	})
 }
 
 func completeResponse(id, body string) string {
--- a/internal/chivehillupstream/reset_test.go
+++ b/internal/chivehillupstream/reset_test.go
@@ -21,19 +21,7 @@
 // connections to it.
 func serveConns(t *testing.T, handle func(c net.Conn)) *Pool {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go handle(c)
-		}
-	}()
-	return NewPool(l.Addr().String(), idParser{}, chivehillbudget.NewMemory(2*maxResponseBytes))
+	return NewPool(chivehillresponsetest.Accept(t, handle), idParser{}, chivehillbudget.NewMemory(2*maxResponseBytes))
 }
 
 // TestResponseWithoutABodyCountsAsCutOff guards against a response that has no body, and no length either,
