--- a/internal/chivehillupstream/reset_test.go
+++ b/internal/chivehillupstream/reset_test.go
@@ -24,8 +24,8 @@
 	return NewPool(chivehillresponsetest.Accept(t, handle), idParser{}, chivehillbudget.NewMemory(2*maxResponseBytes))
 }
 
-// TestResponseWithoutABodyCountsAsCutOff guards against a response that has no body, and no length either,
-// being taken for one whose body was cut off.
+// TestResponseWithoutABodyCountsAsCutOff guards against a response that has no body, and no length
+// either, being taken for one whose body was cut off.
 func TestResponseWithoutABodyCountsAsCutOff(t *testing.T) {
 	proceed, ended := make(chan struct{}), make(chan struct{})
 	pool := serveConns(t, func(c net.Conn) {
@@ -89,8 +89,9 @@
 }
 
 // TestResponseThatIsResetBeforeTheRequestLooksComplete guards against a server that resets the
-// connection behind a response before the request is written: then it is always the write that
-// learns of the reset. The connection is new, or has carried another request.
+// connection behind a response before the request is written. It is then always the write of a
+// short request that learns of the reset; a long one is written beside the read. The connection
+// is new, or has carried another request.
 func TestResponseThatIsResetBeforeTheRequestLooksComplete(t *testing.T) {
 	for _, tt := range chivehillresponsetest.Endings {
 		for _, size := range []int{0, 48 << 10, longUpload} {
